--- a/cmd/drill/main.go
+++ b/cmd/drill/main.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"os"
 
-	"canvaspitch/internal/wire"
+	"pewterline/internal/wire"
 )
 
 func main() {
--- a/control/example_test.go
+++ b/control/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"canvaspitch/control"
+	"pewterline/control"
 )
 
 // A server with one core takes two requests: it runs one, holds the other, and runs it when the first is done.
--- a/control/rules_test.go
+++ b/control/rules_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"canvaspitch/control"
+	"pewterline/control"
 	"pgregory.net/rapid"
 )
 
--- a/internal/wire/host.go
+++ b/internal/wire/host.go
@@ -9,7 +9,7 @@
 	"slices"
 	"time"
 
-	"canvaspitch/control"
+	"pewterline/control"
 )
 
 // Host carries the instances of one process between the wire and their Controllers.
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -4,7 +4,7 @@
 	"encoding/json"
 	"fmt"
 
-	"canvaspitch/control"
+	"pewterline/control"
 )
 
 type startClass struct {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -7,7 +7,7 @@
 	"math"
 	"time"
 
-	"canvaspitch/control"
+	"pewterline/control"
 )
 
 const (
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"canvaspitch/control"
+	"pewterline/control"
 )
 
 const settingsText = `{"classes": [{"name": "a", "aim_ms": 1000, "hard_limit_ms": 4000, "worth": 1, "effect": "free"},
