--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,248 @@
+// Package config is the one place where configuration is read, checked and given defaults. Every error names
+// the faulty key.
+package config
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io/fs"
+	"net/netip"
+	"os"
+	"strconv"
+	"strings"
+
+	"github.com/BurntSushi/toml"
+
+	"pewterline/control"
+	"pewterline/internal/micro"
+	"pewterline/internal/wire"
+)
+
+// Config is all that the program is told.
+type Config struct {
+	Name     string
+	Listen   string
+	Pool     string // empty only where AJP.Runner is set
+	Control  string // empty: no reports
+	Stop     micro.Time
+	Memory   int64 // bytes
+	Sockets  int
+	Settings control.Settings
+	Gauges   []string // the pool's gauges, in their order
+	AJP      AJP
+}
+
+// AJP is deploy/ajp.toml.
+type AJP struct {
+	Listen      string     // empty: no front
+	Secret      string     // empty: none is asked for
+	BodyTimeout micro.Time // how long a caller may take over a body
+	MaxBody     int
+	Runner      string // empty: the worker pool does the work
+	RunnerKey   string
+	RunnerPath  string
+	Connections int // of the runner
+}
+
+// Defaults of what may be left out.
+const (
+	defaultStopMS      = 3200
+	defaultMemoryMB    = 192
+	defaultSockets     = 1024
+	defaultBodyMS      = 2000
+	defaultMaxBody     = 2 << 10
+	maxMaxBody         = 1 << 20
+	defaultConnections = 32
+	defaultAJPFile     = "deploy/ajp.toml"
+)
+
+type file struct {
+	Name    string          `json:"name"`
+	Listen  string          `json:"listen"`
+	Pool    string          `json:"pool"`
+	Control string          `json:"control"`
+	Seed    string          `json:"seed"`
+	StopMS  *float64        `json:"stop_ms"`
+	Limits  limits          `json:"limits"`
+	Setting json.RawMessage `json:"settings"`
+}
+
+type limits struct {
+	MemoryMB *float64 `json:"memory_mb"`
+	Sockets  *int     `json:"sockets"`
+}
+
+// Load reads the configuration that the environment names.
+func Load(getenv func(string) string) (Config, error) {
+	path := getenv("RELAY_CONFIG")
+	if path == "" {
+		return Config{}, errors.New("config: RELAY_CONFIG: not set; it names the JSON file")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Config{}, fmt.Errorf("config: RELAY_CONFIG: %w", err)
+	}
+	ajpPath := getenv("RELAY_AJP")
+	ajpText, err := os.ReadFile(orString(ajpPath, defaultAJPFile))
+	if errors.Is(err, fs.ErrNotExist) && ajpPath == "" {
+		err = nil
+	}
+	if err != nil {
+		return Config{}, fmt.Errorf("config: RELAY_AJP: %w", err)
+	}
+	return parse(text, ajpText, getenv("RELAY_NAME"), getenv("RELAY_LISTEN"))
+}
+
+// parse checks both files; the name and the address of the environment win over the file's.
+func parse(text, ajpText []byte, name, listen string) (Config, error) {
+	var f file
+	if err := json.Unmarshal(text, &f); err != nil {
+		var wrong *json.UnmarshalTypeError
+		if errors.As(err, &wrong) {
+			return Config{}, fmt.Errorf("config: %s: a %s does not fit", wrong.Field, wrong.Value)
+		}
+		return Config{}, fmt.Errorf("config: RELAY_CONFIG: %w", err)
+	}
+	c := Config{
+		Name: orString(name, f.Name), Listen: orString(listen, f.Listen), Pool: f.Pool, Control: f.Control,
+		Stop: defaultStopMS * micro.Millisecond, Memory: defaultMemoryMB << 20, Sockets: defaultSockets,
+	}
+	var err error
+	if c.AJP, err = parseAJP(ajpText); err != nil {
+		return c, err
+	}
+	if c.Name == "" || strings.ContainsAny(c.Name, " \r\n\t") {
+		return c, fmt.Errorf("config: name: %q is not one word", c.Name)
+	}
+	if err := address("listen", c.Listen); err != nil {
+		return c, err
+	}
+	if c.Pool != "" || c.AJP.Runner == "" {
+		if err := address("pool", c.Pool); err != nil {
+			return c, err
+		}
+	}
+	if c.Control != "" {
+		if err := address("control", c.Control); err != nil {
+			return c, err
+		}
+	}
+	if f.StopMS != nil {
+		if !(*f.StopMS > 0 && *f.StopMS <= 3600e3) {
+			return c, fmt.Errorf("config: stop_ms: %v is not within 0 to an hour", *f.StopMS)
+		}
+		c.Stop = micro.Time(*f.StopMS * 1000)
+	}
+	if m := f.Limits.MemoryMB; m != nil {
+		if !(*m >= 32 && *m <= 1<<20) {
+			return c, fmt.Errorf("config: limits.memory_mb: %v is not within 32 to 1048576", *m)
+		}
+		c.Memory = int64(*m * (1 << 20))
+	}
+	if n := f.Limits.Sockets; n != nil {
+		if *n < 64 {
+			return c, fmt.Errorf("config: limits.sockets: %d is under 64", *n)
+		}
+		c.Sockets = *n
+	}
+	var seed uint64
+	if f.Seed != "" {
+		if seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
+			return c, fmt.Errorf("config: seed: %q is not 16 hex digits", f.Seed)
+		}
+	}
+	if len(f.Setting) == 0 {
+		return c, errors.New("config: settings: missing")
+	}
+	if c.Settings, c.Gauges, err = wire.ParseSettings(f.Setting, seed); err != nil {
+		return c, fmt.Errorf("config: %w", err)
+	}
+	if c.Settings.Cores <= 0 {
+		return c, fmt.Errorf("config: settings.extra.cores: %d is not over 0", c.Settings.Cores)
+	}
+	if len(c.Settings.Classes) == 0 {
+		return c, errors.New("config: settings.classes: none")
+	}
+	return c, nil
+}
+
+type ajpFile struct {
+	Front struct {
+		Listen    string `toml:"listen"`
+		Secret    string `toml:"secret"`
+		BodyMS    *int   `toml:"body_timeout_ms"`
+		BodyBytes *int   `toml:"max_body_bytes"`
+	} `toml:"front"`
+	Runner struct {
+		Address     string `toml:"address"`
+		Secret      string `toml:"secret"`
+		Path        string `toml:"path"`
+		Connections *int   `toml:"connections"`
+	} `toml:"runner"`
+}
+
+func parseAJP(text []byte) (AJP, error) {
+	var f ajpFile
+	meta, err := toml.Decode(string(text), &f)
+	if err != nil {
+		return AJP{}, fmt.Errorf("config: ajp.toml: %w", err)
+	}
+	if extra := meta.Undecoded(); len(extra) > 0 {
+		return AJP{}, fmt.Errorf("config: ajp.toml: %s: unknown key", extra[0])
+	}
+	a := AJP{
+		Listen: f.Front.Listen, Secret: f.Front.Secret, BodyTimeout: defaultBodyMS * micro.Millisecond,
+		MaxBody: defaultMaxBody, Runner: f.Runner.Address, RunnerKey: f.Runner.Secret,
+		RunnerPath: orString(f.Runner.Path, "/run"), Connections: defaultConnections,
+	}
+	if a.Listen != "" {
+		if err := address("ajp.toml: front.listen", a.Listen); err != nil {
+			return a, err
+		}
+	}
+	if a.Runner != "" {
+		if err := address("ajp.toml: runner.address", a.Runner); err != nil {
+			return a, err
+		}
+	}
+	if n := f.Front.BodyMS; n != nil {
+		if *n < 1 || *n > 60_000 {
+			return a, fmt.Errorf("config: ajp.toml: front.body_timeout_ms: %d is not within 1 to 60000", *n)
+		}
+		a.BodyTimeout = micro.Time(*n) * micro.Millisecond
+	}
+	if n := f.Front.BodyBytes; n != nil {
+		if *n < 1 || *n > maxMaxBody {
+			return a, fmt.Errorf("config: ajp.toml: front.max_body_bytes: %d is not within 1 to %d", *n, maxMaxBody)
+		}
+		a.MaxBody = *n
+	}
+	if n := f.Runner.Connections; n != nil {
+		if *n < 1 || *n > 256 {
+			return a, fmt.Errorf("config: ajp.toml: runner.connections: %d is not within 1 to 256", *n)
+		}
+		a.Connections = *n
+	}
+	if !strings.HasPrefix(a.RunnerPath, "/") {
+		return a, fmt.Errorf("config: ajp.toml: runner.path: %q does not start with /", a.RunnerPath)
+	}
+	return a, nil
+}
+
+func address(key, text string) error {
+	if text == "" {
+		return fmt.Errorf("config: %s: missing", key)
+	}
+	if _, err := netip.ParseAddrPort(text); err != nil {
+		return fmt.Errorf("config: %s: %q is not an address and port", key, text)
+	}
+	return nil
+}
+
+func orString(s, other string) string {
+	if s != "" {
+		return s
+	}
+	return other
+}
--- /dev/null
+++ b/internal/edge/edge.go
@@ -0,0 +1,180 @@
+// Package edge joins the layers: its sessions carry bytes between transport's connections, the protocols'
+// parsers and the core, and its Server ties them to one loop. It decides nothing about requests.
+package edge
+
+import (
+	"fmt"
+
+	"pewterline/internal/config"
+	"pewterline/internal/micro"
+	"pewterline/internal/protocol/lease"
+	"pewterline/internal/routing"
+	"pewterline/internal/transport"
+)
+
+const (
+	reportEvery = 500 * micro.Millisecond // six reports fit before an entry lapses
+	sweepEvery  = 250 * micro.Millisecond // looks for idle connections
+	stopLead    = 100 * micro.Millisecond // we are gone this long before the process would be stopped
+	lingerMost  = 2 * micro.Second        // for the peer of a connection that was told farewell
+)
+
+// Conn is what a session needs of its connection.
+type Conn interface {
+	Write([]byte)
+	Close()
+	Remote() string
+}
+
+// Loop is what the server needs of the event loop.
+type Loop interface {
+	Now() micro.Time
+	Dial(addr string, open func(*transport.Conn) transport.Session)
+	Send([]byte)
+	Stop()
+}
+
+// Server is the program on one loop.
+type Server struct {
+	cfg      config.Config
+	core     *routing.Core
+	loop     Loop
+	logf     func(string, ...any)
+	instant  func(unixMilli int64) micro.Time
+	classes  map[string]int
+	tenants  map[string]int
+	pool     *poolLink
+	backends *ajpRunner
+	fronts   map[*thriftSession]struct{}
+	offices  map[*ajpSession]struct{}
+
+	nextReport, nextSweep micro.Time
+	reported              bool // the health last reported
+	drainAt, stopAt       micro.Time
+	draining, farewell    bool
+	stopped               bool
+}
+
+// New builds a server; instant converts a wall clock time in milliseconds. Attach must follow.
+func New(cfg config.Config, instant func(int64) micro.Time, logf func(string, ...any)) (*Server, error) {
+	s := &Server{
+		cfg: cfg, logf: logf, instant: instant, classes: map[string]int{}, tenants: map[string]int{},
+		fronts: map[*thriftSession]struct{}{}, offices: map[*ajpSession]struct{}{}, reported: true,
+	}
+	for i, c := range cfg.Settings.Classes {
+		s.classes[c.Name] = i
+	}
+	for i, t := range cfg.Settings.Tenants {
+		s.tenants[t.Name] = i
+	}
+	var runner routing.Runner
+	if cfg.AJP.Runner != "" {
+		s.backends = newAJPRunner(s)
+		runner = s.backends
+	} else {
+		s.pool = newPoolLink(s)
+		runner = s.pool
+	}
+	var err error
+	if s.core, err = routing.New(cfg.Settings, runner, logf); err != nil {
+		return nil, fmt.Errorf("edge: %w", err)
+	}
+	return s, nil
+}
+
+// Attach starts the server on its loop; it is called on it.
+func (s *Server) Attach(l Loop) {
+	s.loop = l
+	if s.pool != nil {
+		l.Dial(s.cfg.Pool, func(c *transport.Conn) transport.Session { return s.pool.opened(c) })
+	} else {
+		s.core.Begin(l.Now(), 0, false)
+	}
+}
+
+// Accept gives a connection its session. The first listener is the platform's, the second AJP's.
+func (s *Server) Accept(listener int, c *transport.Conn) transport.Session {
+	if listener == 1 {
+		return s.acceptAJP(c)
+	}
+	return s.acceptThrift(c)
+}
+
+// Turn ends a turn of the loop: one step of the core, then what is due by the clock.
+func (s *Server) Turn(now micro.Time) micro.Time {
+	if s.loop == nil {
+		return micro.Never
+	}
+	s.core.Step(now)
+	if s.core.Health() != s.reported || now >= s.nextReport {
+		s.report(now)
+	}
+	if now >= s.nextSweep {
+		s.nextSweep = now + sweepEvery
+		s.closeIdle(now)
+	}
+	next := min(s.core.NextDue(), s.nextReport, s.nextSweep)
+	for a := range s.offices {
+		next = min(next, a.checkBody(now))
+	}
+	if s.draining {
+		next = min(next, s.drain(now))
+	}
+	return max(next, now)
+}
+
+func (s *Server) report(now micro.Time) {
+	s.reported, s.nextReport = s.core.Health(), now+reportEvery
+	s.loop.Send(lease.Append(nil, s.cfg.Name, s.reported))
+}
+
+// closeIdle bids farewell to connections that have been idle for as long as the core wishes to keep them: the
+// peer closes them, so that no request crosses the close. One that does not is closed after a while.
+func (s *Server) closeIdle(now micro.Time) {
+	after := s.core.IdleAfter()
+	for t := range s.fronts {
+		if len(t.open) > 0 {
+			continue
+		}
+		if idle := now - t.last; t.bidden && idle > lingerMost {
+			t.conn.Close()
+		} else if !t.bidden && after > 0 && idle >= after {
+			t.farewell(now)
+		}
+	}
+}
+
+// Drain is the notice to leave.
+func (s *Server) Drain(now micro.Time) {
+	if s.draining {
+		return
+	}
+	s.draining, s.drainAt, s.stopAt = true, now, now+s.cfg.Stop-stopLead
+	s.core.Drain(now, s.stopAt)
+	s.logf("edge: draining, to stop within %v", (s.stopAt - now).Duration())
+}
+
+// drain ends the program once all that was read is answered. New requests are welcome until none would run;
+// then farewell is bid, and the end waits for the peers to have closed, so that no request is cut off unread.
+func (s *Server) drain(now micro.Time) micro.Time {
+	quiet := min(s.drainAt+micro.Of(s.cfg.Settings.DrainGrace), s.stopAt-lingerMost/4)
+	if now >= quiet && !s.farewell {
+		s.farewell = true
+		for t := range s.fronts {
+			t.farewell(now)
+		}
+	}
+	done := s.farewell && s.core.Drained() && len(s.fronts)+len(s.offices) == 0
+	if (done || now >= s.stopAt) && !s.stopped {
+		s.stopped = true
+		s.logf("edge: drained, %d requests open", s.core.Open())
+		s.loop.Stop()
+	}
+	if s.stopped {
+		return micro.Never
+	}
+	if s.farewell {
+		return s.stopAt
+	}
+	return quiet
+}
--- /dev/null
+++ b/internal/edge/pool.go
@@ -0,0 +1,154 @@
+package edge
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"strconv"
+
+	"pewterline/internal/micro"
+	"pewterline/internal/protocol/pool"
+	"pewterline/internal/routing"
+	"pewterline/internal/transport"
+	"pewterline/internal/wire"
+)
+
+// poolLink is the runner that hands the work to the worker pool. Runs outlive the link: after a new one is
+// bound, the notices that were missed come first, and only then is sent again what may have been lost.
+type poolLink struct {
+	s      *Server
+	conn   Conn // nil while there is no link
+	synced bool // the missed notices of this link have been read
+	links  int  // opened so far; names the poll that marks their end
+	notice uint64
+	runs   map[string]*poolRun
+	order  int
+	out    []byte
+}
+
+// poolRun is a run that has not ended.
+type poolRun struct {
+	routing.Run
+	order   int
+	link    int  // the link it was last sent on; 0: never
+	stopped bool // its answer is no longer wanted
+}
+
+func newPoolLink(s *Server) *poolLink { return &poolLink{s: s, runs: map[string]*poolRun{}} }
+
+func (p *poolLink) opened(c Conn) transport.Session {
+	p.conn, p.synced = c, false
+	p.links++
+	p.write(pool.AppendBind(p.out[:0], p.notice))
+	p.write(pool.AppendPoll(p.out[:0], p.syncTag()))
+	return p
+}
+
+func (p *poolLink) syncTag() string { return "sync" + strconv.Itoa(p.links) }
+
+func (p *poolLink) write(b []byte) {
+	p.out = b[:0]
+	p.conn.Write(b)
+}
+
+// Start is part of routing.Runner.
+func (p *poolLink) Start(r routing.Run) {
+	p.order++
+	run := &poolRun{Run: r, order: p.order}
+	p.runs[r.ID] = run
+	if p.synced {
+		p.send(run)
+	}
+}
+
+func (p *poolLink) send(r *poolRun) {
+	r.link = p.links
+	p.write(pool.AppendSpawn(p.out[:0], r.ID, r.Class, r.Body))
+	if r.stopped {
+		p.write(pool.AppendSuspend(p.out[:0], r.ID))
+	}
+}
+
+// Stop is part of routing.Runner.
+func (p *poolLink) Stop(id string) {
+	r := p.runs[id]
+	switch {
+	case r == nil || r.stopped:
+	case r.link == 0:
+		delete(p.runs, id)
+		p.s.core.Finished(id, routing.Stopped, nil) // it was never sent
+	default:
+		r.stopped = true
+		if p.synced {
+			p.write(pool.AppendSuspend(p.out[:0], id))
+		}
+	}
+}
+
+// Poll is part of routing.Runner.
+func (p *poolLink) Poll() {
+	if p.synced {
+		p.write(pool.AppendPoll(p.out[:0], "g"))
+	}
+}
+
+// Receive is part of transport.Session.
+func (p *poolLink) Receive(in []byte) (int, error) {
+	n := 0
+	for {
+		m, size, err := pool.Parse(in[n:])
+		if err != nil || size == 0 {
+			return n, err
+		}
+		n += size
+		p.take(m)
+	}
+}
+
+// Closed is part of transport.Session.
+func (p *poolLink) Closed() {
+	p.conn, p.synced = nil, false
+	p.s.logf("pool: link lost, %d runs under way", len(p.runs))
+	p.s.loop.Dial(p.s.cfg.Pool, func(c *transport.Conn) transport.Session { return p.opened(c) })
+}
+
+var poolEnds = map[pool.End]routing.End{
+	pool.Pass: routing.Passed, pool.Fail: routing.Errored, pool.Killed: routing.Stopped, pool.Noop: routing.Unneeded,
+}
+
+func (p *poolLink) take(m pool.Message) {
+	switch m.Kind {
+	case pool.Bound:
+		p.s.core.Begin(p.s.loop.Now(), micro.Time(m.MS*1000), !m.Loaded)
+	case pool.Finished:
+		if m.Notice <= p.notice {
+			return // read already on the link before
+		}
+		p.notice = m.Notice
+		if p.runs[m.ID] != nil {
+			delete(p.runs, m.ID)
+			p.s.core.Finished(m.ID, poolEnds[m.End], append([]byte(nil), m.Result...))
+		}
+	case pool.Polled:
+		if m.Tag == p.syncTag() && !p.synced {
+			p.resync()
+		}
+		p.s.core.SetGauges(wire.ReadGauges(p.s.cfg.Gauges, m.Gauges))
+	case pool.Unknown:
+		p.s.logf("pool: %s %s was not carried out", m.Command, m.ID)
+		if r := p.runs[m.ID]; r != nil && m.Command == "spawn" {
+			delete(p.runs, m.ID)
+			p.s.core.Finished(m.ID, routing.Rejected, nil)
+		}
+	}
+}
+
+// resync sends what has no notice yet, oldest first. Guards against both faults of a broken link: a command
+// lost with it, and one sent again for a run whose notice was on its way.
+func (p *poolLink) resync() {
+	p.synced = true
+	byOrder := func(a, b *poolRun) int { return cmp.Compare(a.order, b.order) }
+	for _, r := range slices.SortedFunc(maps.Values(p.runs), byOrder) {
+		p.send(r)
+	}
+}
--- /dev/null
+++ b/internal/edge/thrift.go
@@ -0,0 +1,219 @@
+package edge
+
+import (
+	"fmt"
+	"strconv"
+
+	"pewterline/control"
+	"pewterline/internal/micro"
+	"pewterline/internal/protocol/thrift"
+	"pewterline/internal/routing"
+)
+
+// maxOpen bounds the open requests of a connection: twice what the platform allows, as answers cross requests.
+const maxOpen = 64
+
+// thriftSession is the platform's front on one connection.
+type thriftSession struct {
+	s      *Server
+	conn   Conn
+	open   map[int32]control.ID // by sequence number
+	last   micro.Time           // of the last request or answer
+	bidden bool                 // farewell was sent
+	closed bool
+	out    []byte // scratch
+}
+
+func (s *Server) acceptThrift(c Conn) *thriftSession {
+	t := &thriftSession{s: s, conn: c, open: map[int32]control.ID{}, last: s.loop.Now()}
+	s.fronts[t] = struct{}{}
+	if s.farewell {
+		t.farewell(t.last)
+	}
+	return t
+}
+
+func (t *thriftSession) write(p []byte) {
+	t.out = p[:0]
+	t.conn.Write(p)
+}
+
+func (t *thriftSession) farewell(now micro.Time) {
+	if t.bidden {
+		return
+	}
+	t.bidden, t.last = true, now
+	t.write(thrift.AppendFarewell(t.out[:0]))
+}
+
+// Receive is part of transport.Session.
+func (t *thriftSession) Receive(in []byte) (int, error) {
+	n := 0
+	for {
+		payload, size, err := thrift.Split(in[n:])
+		if err != nil || payload == nil {
+			return n, err
+		}
+		n += size
+		m, answerable, err := thrift.Decode(payload)
+		if err == nil {
+			t.take(m)
+		} else if !answerable {
+			return n, err
+		} else {
+			t.except(m, thrift.ProtocolError, err)
+		}
+	}
+}
+
+// Closed is part of transport.Session: whoever waits on this connection has left.
+func (t *thriftSession) Closed() {
+	t.closed = true
+	delete(t.s.fronts, t)
+	for _, id := range t.open {
+		t.s.core.GiveUp(id)
+	}
+	clear(t.open)
+}
+
+func (t *thriftSession) except(m thrift.Message, code uint32, err error) {
+	t.s.logf("thrift: %s: %s %d: %v", t.conn.Remote(), m.Name, m.Seq, err)
+	if !m.Oneway {
+		t.write(thrift.AppendException(t.out[:0], m.Name, m.Seq, code, err.Error()))
+	}
+}
+
+func (t *thriftSession) take(m thrift.Message) {
+	t.last = t.s.loop.Now()
+	switch m.Method {
+	case thrift.Process:
+		if err := t.process(m); err != nil {
+			t.except(m, thrift.ProtocolError, err)
+		}
+	case thrift.GiveUp:
+		if id, ok := t.open[m.GaveUp]; ok {
+			delete(t.open, m.GaveUp)
+			t.s.core.GiveUp(id)
+		}
+	case thrift.Probe:
+		t.write(thrift.AppendAnswer(t.out[:0], m.Name, m.Seq, nil, t.s.sayField(nil), t.s.core.Health()))
+	default:
+		t.except(m, thrift.UnknownMethod, fmt.Errorf("no such method"))
+	}
+}
+
+// maxBody is the protocol's bound on a request's body.
+const maxBody = 2 << 10
+
+func (t *thriftSession) process(m thrift.Message) error {
+	if _, taken := t.open[m.Seq]; taken {
+		return fmt.Errorf("sequence number is open already")
+	} else if len(t.open) >= maxOpen {
+		return fmt.Errorf("%d requests are open already", len(t.open))
+	} else if len(m.Body) > maxBody {
+		return fmt.Errorf("body of %d bytes is over %d", len(m.Body), maxBody)
+	}
+	r, err := t.s.request(func(name string) string { return m.Fields[name] })
+	if err != nil {
+		return err
+	}
+	r.Body = append([]byte(nil), m.Body...)
+	r.Reply = &thriftCall{t, m.Seq}
+	id, err := t.s.core.Submit(t.s.loop.Now(), r)
+	if err != nil {
+		return err
+	}
+	t.open[m.Seq] = id
+	return nil
+}
+
+// request reads the fields that all fronts share; get returns "" for one that is absent.
+func (s *Server) request(get func(string) string) (r routing.Request, err error) {
+	var ok bool
+	if r.Class, ok = s.classes[get("class")]; !ok {
+		return r, fmt.Errorf("class: unknown %q", get("class"))
+	}
+	if r.Tenant, ok = s.tenants[get("tenant")]; !ok && len(s.tenants) > 0 {
+		return r, fmt.Errorf("tenant: unknown %q", get("tenant"))
+	}
+	if r.RunID = get("id"); !hexDigits(r.RunID, 16) {
+		return r, fmt.Errorf("id: %q is not 16 hex digits", r.RunID)
+	}
+	at, err := strconv.ParseInt(get("at"), 10, 64)
+	if err != nil {
+		return r, fmt.Errorf("at: %q is not a time in milliseconds", get("at"))
+	}
+	r.At = min(s.instant(at), s.loop.Now())
+	from, err := strconv.ParseUint(get("from"), 10, 32)
+	if err != nil {
+		return r, fmt.Errorf("from: %q is not a number", get("from"))
+	}
+	r.Caller = uint32(from)
+	if r.HeldKB, err = strconv.ParseFloat(get("kb"), 64); err != nil {
+		return r, fmt.Errorf("kb: %q is not a number", get("kb"))
+	}
+	if r.Rank, err = strconv.ParseFloat(get("rank"), 64); err != nil {
+		return r, fmt.Errorf("rank: %q is not a number", get("rank"))
+	}
+	if key := get("key"); key != "" {
+		if r.Key, err = strconv.ParseUint(key, 16, 64); err != nil {
+			return r, fmt.Errorf("key: %q is not a hex number", key)
+		}
+	}
+	if r.Once = get("once"); len(r.Once) > 128 {
+		return r, fmt.Errorf("once: %d characters are too many", len(r.Once))
+	}
+	r.Retry = get("retry") == "1"
+	return r, nil
+}
+
+func hexDigits(s string, n int) bool {
+	for i := range len(s) {
+		if c := s[i] | 0x20; (c < '0' || c > '9') && (c < 'a' || c > 'f') {
+			return false
+		}
+	}
+	return len(s) == n
+}
+
+// sayField adds the free value, which goes with every answer.
+func (s *Server) sayField(fields []thrift.Field) []thrift.Field {
+	if v, ok := s.core.Say(); ok {
+		fields = append(fields, thrift.Field{Name: "say", Value: strconv.FormatFloat(v, 'f', 4, 64)})
+	}
+	return fields
+}
+
+// thriftCall is where the answer to one request goes.
+type thriftCall struct {
+	t   *thriftSession
+	seq int32
+}
+
+// Reply is part of routing.Replier.
+func (k *thriftCall) Reply(a routing.Answer) {
+	t := k.t
+	if t.closed {
+		return
+	}
+	delete(t.open, k.seq)
+	t.last = t.s.loop.Now()
+	fields := t.s.sayField(nil)
+	switch a.Status {
+	case routing.Served:
+		t.write(thrift.AppendAnswer(t.out[:0], "process", k.seq, a.Result, fields, true))
+	case routing.Refused:
+		if a.After > 0 {
+			fields = append(fields, thrift.Field{Name: "after", Value: strconv.FormatInt(wholeMS(a.After), 10)})
+		}
+		if a.Last {
+			fields = append(fields, thrift.Field{Name: "last", Value: "1"})
+		}
+		t.write(thrift.AppendThrottled(t.out[:0], k.seq, fields))
+	default:
+		t.write(thrift.AppendBroken(t.out[:0], k.seq, fields))
+	}
+}
+
+// wholeMS rounds up, so that advice is never cut to none.
+func wholeMS(t micro.Time) int64 { return int64((t + micro.Millisecond - 1) / micro.Millisecond) }
--- /dev/null
+++ b/internal/micro/micro.go
@@ -0,0 +1,39 @@
+// Package micro holds the program's time: whole microseconds on the monotonic clock.
+package micro
+
+import "time"
+
+// Time is an instant, or a span, in whole microseconds. Instants count from a fixed origin of the process.
+type Time int64
+
+// Spans in common use.
+const (
+	Millisecond Time = 1000
+	Second      Time = 1000 * Millisecond
+)
+
+// Never is later than every instant.
+const Never Time = 1<<63 - 1
+
+// Duration converts to the unit of the decision module and of the standard library.
+func (t Time) Duration() time.Duration { return time.Duration(t) * time.Microsecond }
+
+// Of converts a duration, cutting what is below a microsecond.
+func Of(d time.Duration) Time { return Time(d / time.Microsecond) }
+
+// Clock tells the time since its origin and converts the system's wall clock to it.
+type Clock struct {
+	origin time.Time // carries a monotonic reading
+}
+
+// NewClock starts a clock at a second, so that no instant of the process is zero.
+func NewClock() Clock { return Clock{origin: time.Now().Add(-time.Second)} }
+
+// Now reads the monotonic clock.
+func (c Clock) Now() Time { return Of(time.Since(c.origin)) }
+
+// FromUnixMilli is the instant of a wall clock time; the wall clock's offset is read at that moment.
+func (c Clock) FromUnixMilli(ms int64) Time {
+	now := time.Now()
+	return Of(now.Sub(c.origin)) - Time(now.UnixMicro()-ms*1000)
+}
--- /dev/null
+++ b/internal/routing/keys.go
@@ -0,0 +1,128 @@
+package routing
+
+import (
+	"pewterline/control"
+	"pewterline/internal/micro"
+)
+
+// lateRead is how long past its window an entry stays to be found: a repeat that arrived within the window may
+// be read, or waited for, that much later.
+const lateRead = 10 * micro.Second
+
+// onceKey names a request over all its tries. The same text from another tenant is another request.
+type onceKey struct {
+	class, tenant int
+	once          string
+}
+
+// onceEntry is what is known of one keyed request.
+type onceEntry struct {
+	name    onceKey
+	holder  control.ID // the try that the module knows as the original
+	expires micro.Time // of the module's Keep
+	kept    bool       // false: only seen in this turn
+
+	ran     bool
+	runner  control.ID // the try that ran
+	over    bool       // that run has ended, in end with result
+	end     End
+	result  []byte
+	waiters []*request
+}
+
+// claim marks the key as run by r, unless another try has run.
+func (e *onceEntry) claim(r *request) bool {
+	if e.ran && e.runner != r.id {
+		return false
+	}
+	e.ran, e.runner = true, r.id
+	return true
+}
+
+// keyTable is the one table of once-keys, whatever front a try came by.
+type keyTable struct {
+	byName map[onceKey]*onceEntry
+	byID   map[control.ID]*onceEntry // by holder
+	fresh  []*onceEntry              // seen in this turn and not yet kept
+	swept  micro.Time
+}
+
+func newKeyTable() keyTable {
+	return keyTable{byName: map[onceKey]*onceEntry{}, byID: map[control.ID]*onceEntry{}}
+}
+
+// arrive finds the entry of a request, or makes one that lasts for this turn unless the module keeps it. The
+// ID is that of the try it repeats, 0 for none. What counts is when the repeat arrived, not when it is read.
+func (t *keyTable) arrive(r *request) (*onceEntry, control.ID) {
+	name := onceKey{r.Class, r.Tenant, r.Once}
+	e := t.byName[name]
+	if e != nil && (!e.kept || r.At < e.expires || e.ran && !e.over) {
+		return e, e.holder
+	}
+	if e != nil {
+		t.remove(e)
+	}
+	e = &onceEntry{name: name, holder: r.id}
+	t.byName[name], t.byID[r.id] = e, e
+	t.fresh = append(t.fresh, e)
+	return e, 0
+}
+
+// keep makes r the holder of its entry until expires.
+func (t *keyTable) keep(r *request, expires micro.Time) {
+	e := r.key
+	if t.byName[e.name] != e { // dropped while r was held
+		if t.byName[e.name] != nil {
+			return
+		}
+		t.byName[e.name] = e
+	}
+	delete(t.byID, e.holder)
+	e.holder, e.kept, e.expires = r.id, true, expires
+	t.byID[r.id] = e
+}
+
+// drop ends the entry that id holds, unless a try of it has run.
+func (t *keyTable) drop(id control.ID) {
+	if e := t.byID[id]; e != nil && !e.ran {
+		t.remove(e)
+	}
+}
+
+// unrun forgets that a try has run: proof came that nothing was started.
+func (t *keyTable) unrun(e *onceEntry) {
+	e.ran = false
+	t.remove(e)
+}
+
+func (t *keyTable) remove(e *onceEntry) {
+	if t.byName[e.name] == e {
+		delete(t.byName, e.name)
+	}
+	if t.byID[e.holder] == e {
+		delete(t.byID, e.holder)
+	}
+}
+
+// settle ends the entries that the module did not keep in the turn that brought them.
+func (t *keyTable) settle() {
+	for _, e := range t.fresh {
+		if !e.kept && !e.ran {
+			t.remove(e)
+		}
+	}
+	t.fresh = t.fresh[:0]
+}
+
+// sweep drops what has run out, about once a second.
+func (t *keyTable) sweep(now micro.Time) {
+	if now < t.swept+micro.Second {
+		return
+	}
+	t.swept = now
+	for _, e := range t.byName {
+		if now > e.expires+lateRead && (e.over || !e.ran) {
+			t.remove(e)
+		}
+	}
+}
--- /dev/null
+++ b/internal/routing/routing.go
@@ -0,0 +1,472 @@
+// Package routing is the core of the program. It knows no wire: fronts hand it requests, runners tell it of
+// runs, and it turns both into events of the decision module and the module's actions into calls on small
+// interfaces. It keeps the table of requests, the once-keys with their results, the due times and the health.
+//
+// Everything here runs on the event loop; nothing is safe for concurrent use.
+package routing
+
+import (
+	"fmt"
+	"slices"
+
+	"pewterline/control"
+	"pewterline/internal/micro"
+)
+
+// Status is the kind of a final answer.
+type Status uint8
+
+// The kinds of answer.
+const (
+	Served  Status = iota // Result holds what the run made
+	Refused               // this try never ran
+	Failed                // an error, with no promise
+	Expired               // failed because its due time has come
+)
+
+// Answer is the one final answer to a request.
+type Answer struct {
+	Status Status
+	Result []byte
+	After  micro.Time // Refused: how long to stay away; 0 = no advice
+	Last   bool       // Refused: no other server should be tried
+	Reason string     // Failed, Expired
+}
+
+// Replier gives a request's answer to its caller. It is called at most once.
+type Replier interface {
+	Reply(Answer)
+}
+
+// Request is one try of a request, as a front read it. The core keeps Body until the try is over.
+type Request struct {
+	RunID  string // names the try for the runner; unlike that of any other open try
+	Class  int
+	Tenant int
+	Once   string // keyed classes: the same for all tries of one request
+	Key    uint64 // its subject; 0 = none
+	At     micro.Time
+	HeldKB float64
+	Rank   float64
+	Retry  bool
+	Caller uint32
+	Body   []byte
+	Reply  Replier
+}
+
+// Run is what a runner needs to start a try.
+type Run struct {
+	ID    string
+	Class string
+	Body  []byte
+}
+
+// Runner does the work. Each Start is followed by one Core.Finished, whatever happens to the runner's links.
+type Runner interface {
+	Start(Run)
+	Stop(id string) // of a run whose answer is no longer wanted
+	Poll()          // asks for the gauges, which come by Core.SetGauges
+}
+
+// End says how a run ended.
+type End uint8
+
+// The ends of a run.
+const (
+	Passed   End = iota
+	Errored      // failed, possibly after taking effect
+	Stopped      // stopped, its work is lost
+	Unneeded     // nothing was started: its caller had left already
+	Rejected     // nothing was started: the runner does not take it
+)
+
+type state uint8
+
+const (
+	held state = iota
+	running
+	joined
+)
+
+type request struct {
+	Request
+	id       control.ID
+	state    state
+	answered bool // its caller has the answer, or has left
+	key      *onceEntry
+}
+
+// Core carries requests between fronts, the decision module and a runner.
+type Core struct {
+	settings control.Settings
+	ctl      *control.Controller
+	runner   Runner
+	logf     func(format string, args ...any)
+	begun    bool
+	now      micro.Time
+
+	lastID  control.ID
+	live    map[control.ID]*request
+	runs    map[string]*request // by RunID, until the try is over
+	keys    keyTable
+	open    int // requests that are owed an answer
+	events  []control.Event
+	wakes   []wake
+	gauges  control.Gauges
+	drained bool
+	stopAt  micro.Time
+
+	good      bool
+	say       float64
+	saying    bool
+	idleAfter micro.Time
+}
+
+type wake struct {
+	at   micro.Time
+	mark uint64
+}
+
+// New returns a core around a fresh decision module.
+func New(s control.Settings, runner Runner, logf func(string, ...any)) (*Core, error) {
+	if s.Below != control.BelowNone {
+		return nil, fmt.Errorf("routing: settings.extra.downstream: calls below are not offered")
+	}
+	// A trial, so that settings that make no sense stop the start; the one in use is made at Begin.
+	if _, err := control.New(s); err != nil {
+		return nil, fmt.Errorf("routing: settings: %w", err)
+	}
+	return &Core{
+		settings: s, runner: runner, logf: logf, good: true,
+		live: map[control.ID]*request{}, runs: map[string]*request{}, keys: newKeyTable(),
+		gauges: control.Gauges{Busy: -1, Runnable: -1, Memory: -1, Connections: -1},
+	}, nil
+}
+
+// Begin starts the decision module, whose machine has been up for age; cold says that it started cold. Only
+// the first call counts. The module dates the machine's start by its first step, so that step is dated back.
+func (c *Core) Begin(now, age micro.Time, cold bool) {
+	if c.begun {
+		return
+	}
+	s := c.settings
+	s.Cold = s.Cold || cold
+	ctl, err := control.New(s)
+	if err != nil { // New has tried the same settings
+		panic(fmt.Sprintf("routing: settings: %v", err))
+	}
+	c.begun, c.ctl = true, ctl
+	born := max(now-age, 0)
+	c.carryOut(now, c.ctl.Step(born.Duration(), nil))
+	for i := range c.wakes { // the tick that the dated step asked for is due from now on
+		c.wakes[i].at = max(c.wakes[i].at, now)
+	}
+}
+
+// Health is the answer to health checks and reports.
+func (c *Core) Health() bool { return c.good }
+
+// Say is the free value; false while none was set.
+func (c *Core) Say() (float64, bool) { return c.say, c.saying }
+
+// IdleAfter is how long an idle connection may stay; 0 = no wish.
+func (c *Core) IdleAfter() micro.Time { return c.idleAfter }
+
+// Open counts the requests that are owed an answer.
+func (c *Core) Open() int { return c.open }
+
+// SetGauges notes the runner's latest readings.
+func (c *Core) SetGauges(g control.Gauges) { c.gauges = g }
+
+// Classes lists the classes in the order of Request.Class.
+func (c *Core) Classes() []control.Class { return c.settings.Classes }
+
+// Submit takes a request that a front has read. The returned ID is for GiveUp; the answer comes by Reply,
+// never before Submit returns.
+func (c *Core) Submit(now micro.Time, r Request) (control.ID, error) {
+	switch {
+	case r.Class < 0 || r.Class >= len(c.settings.Classes):
+		return 0, fmt.Errorf("class: none of that number")
+	case c.runs[r.RunID] != nil:
+		return 0, fmt.Errorf("id: %q is open already", r.RunID)
+	case !(r.HeldKB > 0 && r.HeldKB < 2000): // also false for what is no number
+		return 0, fmt.Errorf("kb: %v is not within 0 to 2000", r.HeldKB)
+	case !(r.Rank >= 0 && r.Rank < 1):
+		return 0, fmt.Errorf("rank: %v is not within 0 to 1", r.Rank)
+	}
+	keyed := c.settings.Classes[r.Class].Effect == control.Keyed
+	if keyed && r.Once == "" {
+		return 0, fmt.Errorf("once: missing in a keyed class")
+	}
+	c.Begin(now, 0, false)
+	c.lastID++
+	q := &request{Request: r, id: c.lastID}
+	e := control.Arrive{
+		ID: q.id, Class: r.Class, Tenant: r.Tenant, Key: r.Key, Age: max(now-r.At, 0).Duration(),
+		HeldKB: r.HeldKB, Rank: r.Rank, Retry: r.Retry, Caller: r.Caller,
+	}
+	if keyed {
+		q.key, e.Original = c.keys.arrive(q)
+		e.Key = 0
+	}
+	c.live[q.id], c.runs[r.RunID] = q, q
+	c.open++
+	c.events = append(c.events, e)
+	return q.id, nil
+}
+
+// GiveUp says that the caller of a request has left: no answer is owed.
+func (c *Core) GiveUp(id control.ID) {
+	r := c.live[id]
+	if r == nil || r.answered {
+		return
+	}
+	c.settle(r)
+	c.events = append(c.events, control.Gone{ID: id})
+	if r.state != running {
+		c.forget(r)
+	}
+}
+
+// Drain is the notice to leave: the process is stopped at stop.
+func (c *Core) Drain(now, stop micro.Time) {
+	if c.drained {
+		return
+	}
+	c.Begin(now, 0, false)
+	c.drained, c.stopAt = true, stop
+	c.events = append(c.events, control.Drain{Stop: stop.Duration()})
+}
+
+// NextDue is when Step has something to do, whatever arrives before that.
+func (c *Core) NextDue() micro.Time {
+	if len(c.events) > 0 {
+		return c.now
+	}
+	due := micro.Never
+	for _, w := range c.wakes {
+		due = min(due, w.at)
+	}
+	return due
+}
+
+// Step hands all that has come in since the last step to the decision module, and carries out its actions.
+func (c *Core) Step(now micro.Time) {
+	c.now = now
+	if !c.begun {
+		return
+	}
+	ticked := false
+	c.wakes = slices.DeleteFunc(c.wakes, func(w wake) bool {
+		if w.at > now {
+			return false
+		}
+		c.events = append(c.events, control.Tick{Mark: w.mark, Gauges: c.gauges})
+		ticked = true
+		return true
+	})
+	if len(c.events) == 0 {
+		return
+	}
+	events := c.events
+	c.events = nil
+	c.carryOut(now, c.ctl.Step(now.Duration(), events))
+	if ticked {
+		c.runner.Poll()
+		c.keys.sweep(now)
+	}
+}
+
+func (c *Core) carryOut(now micro.Time, actions []control.Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case control.Run:
+			c.run(c.live[a.ID])
+		case control.Refuse:
+			c.refuse(c.live[a.ID], a)
+		case control.Fail:
+			c.fail(now, c.live[a.ID])
+		case control.Pause:
+			if r := c.live[a.ID]; r != nil && r.state == running {
+				c.runner.Stop(r.RunID)
+			}
+		case control.Keep:
+			if r := c.live[a.ID]; r != nil && r.key != nil {
+				c.keys.keep(r, now+micro.Of(a.For))
+			}
+		case control.Forget:
+			c.keys.drop(a.ID)
+		case control.Reuse:
+			c.reuse(c.live[a.ID])
+		case control.Health:
+			c.good = a.Good
+		case control.Signal:
+			c.say, c.saying = a.Value, true
+		case control.CloseIdle:
+			c.idleAfter = micro.Of(a.After)
+		case control.Wake:
+			c.wakes = append(c.wakes, wake{now + micro.Of(a.After), a.Mark})
+		case control.Log:
+			c.logf("control: %s", a.Text)
+		default:
+			c.logf("routing: action %T is not offered here", a)
+		}
+	}
+	c.keys.settle()
+}
+
+func (c *Core) run(r *request) {
+	if r == nil || r.state != held {
+		return
+	}
+	// Guards the once-only rule itself: whatever the decisions were, a key that ran is not run again.
+	if r.key != nil && !r.key.claim(r) {
+		c.logf("routing: run of %s withheld: its key has run", r.RunID)
+		c.reuse(r)
+		return
+	}
+	r.state = running
+	c.runner.Start(Run{ID: r.RunID, Class: c.settings.Classes[r.Class].Name, Body: r.Body})
+}
+
+func (c *Core) refuse(r *request, a control.Refuse) {
+	if r == nil || r.state == running {
+		return // having run, a request is not turned away
+	}
+	c.answer(r, Answer{Status: Refused, After: micro.Of(a.StayAway), Last: a.Last})
+	c.forget(r)
+}
+
+// lateBy is how far before its due time a failed request still counts as expired: the module fails what nears
+// its due time a little ahead of it.
+const lateBy = 100 * micro.Millisecond
+
+func (c *Core) fail(now micro.Time, r *request) {
+	if r == nil {
+		return
+	}
+	a := Answer{Status: Failed, Reason: "given up"}
+	if now >= r.At+micro.Of(c.settings.Classes[r.Class].Deadline)-lateBy {
+		a = Answer{Status: Expired, Reason: "past its deadline"}
+	}
+	c.answer(r, a)
+	if r.state != running {
+		c.forget(r)
+	}
+}
+
+// reuse answers r from the result of its key, or lets it wait for the run.
+func (c *Core) reuse(r *request) {
+	if r == nil || r.state != held {
+		return
+	}
+	r.state = joined
+	switch {
+	case r.key == nil || !r.key.ran:
+		c.finish(r, Errored, nil)
+	case r.key.over:
+		c.finish(r, r.key.end, r.key.result)
+	default:
+		r.key.waiters = append(r.key.waiters, r)
+	}
+}
+
+// Finished tells how the run of id ended. The core keeps result.
+func (c *Core) Finished(id string, end End, result []byte) {
+	r := c.runs[id]
+	if r == nil || r.state != running {
+		return
+	}
+	if k := r.key; k != nil && k.runner == r.id {
+		if end == Unneeded || end == Rejected {
+			if c.passOn(r, end) {
+				return
+			}
+			c.keys.unrun(k) // nothing ran: a later try may
+		} else {
+			k.over, k.end, k.result = true, end, result
+		}
+		waiters := k.waiters
+		k.waiters = nil
+		defer func() {
+			for _, w := range waiters {
+				c.finish(w, end, result)
+			}
+		}()
+	}
+	c.finish(r, end, result)
+}
+
+// passOn lets a waiting try run in the place of one whose caller had left before it started: nothing has run,
+// and the module counts one run for both.
+func (c *Core) passOn(r *request, end End) bool {
+	if end != Unneeded || len(r.key.waiters) == 0 {
+		return false
+	}
+	w := r.key.waiters[0]
+	c.settle(r)
+	delete(c.runs, r.RunID)
+	r.RunID, r.Body = w.RunID, w.Body
+	// The waiter stays joined and is answered with the run; its RunID now leads to the run.
+	c.runs[r.RunID] = r
+	c.runner.Start(Run{ID: r.RunID, Class: c.settings.Classes[r.Class].Name, Body: r.Body})
+	return true
+}
+
+// finish ends a run or a wait: the answer goes out and the module hears of it.
+func (c *Core) finish(r *request, end End, result []byte) {
+	outcome := control.OutcomeError
+	switch end {
+	case Passed:
+		outcome = control.OutcomeOK
+		c.answer(r, Answer{Status: Served, Result: result})
+	case Errored:
+		c.answer(r, Answer{Status: Failed, Reason: "the run failed"})
+	case Rejected:
+		c.answer(r, Answer{Status: Failed, Reason: "the runner does not take it"})
+	case Stopped:
+		outcome = control.OutcomeCancelled
+		c.answer(r, Answer{Status: Failed, Reason: "the run was stopped"})
+	case Unneeded:
+		// The module takes no notice of a moot run, and would count it as running for ever; for a caller that
+		// has left, a cancelled one is the end.
+		outcome = control.OutcomeCancelled
+		if r.state == running && !r.answered {
+			c.settle(r)
+			c.events = append(c.events, control.Gone{ID: r.id})
+		}
+		c.answer(r, Answer{Status: Failed, Reason: "the run was not started"})
+	}
+	c.events = append(c.events, control.Done{ID: r.id, Outcome: outcome})
+	c.forget(r)
+}
+
+func (c *Core) answer(r *request, a Answer) {
+	if r.answered {
+		return
+	}
+	c.settle(r)
+	r.Reply.Reply(a)
+}
+
+// settle notes that no answer is owed any more.
+func (c *Core) settle(r *request) {
+	if !r.answered {
+		r.answered = true
+		c.open--
+	}
+}
+
+// forget drops a request that is over.
+func (c *Core) forget(r *request) {
+	delete(c.live, r.id)
+	if c.runs[r.RunID] == r {
+		delete(c.runs, r.RunID)
+	}
+	if r.key != nil {
+		r.key.waiters = slices.DeleteFunc(r.key.waiters, func(w *request) bool { return w == r })
+	}
+}
+
+// Drained says that the notice to leave has come and nothing is owed an answer.
+func (c *Core) Drained() bool { return c.drained && c.open == 0 }
--- /dev/null
+++ b/internal/transport/transport.go
@@ -0,0 +1,461 @@
+// Package transport is the one event loop of the program: listeners, connections, dialled links, timers and
+// datagrams. Nothing else imports gnet.
+//
+// gnet calls back for each connection and tells nobody when a round of its poller is over. A turn is made from
+// how its poller works: it first calls back for every descriptor that is ready, and runs the tasks that were
+// queued with Execute after that. So the first callback of a turn queues its end, which then runs behind all
+// that was ready with it.
+package transport
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/panjf2000/gnet/v2"
+	"github.com/panjf2000/gnet/v2/pkg/logging"
+	"golang.org/x/sys/unix"
+
+	"pewterline/internal/micro"
+)
+
+const (
+	maxUnsent   = 1 << 20 // bytes that a slow reader may leave unread
+	keepBuffer  = 64 << 10
+	readBuffer  = 64 << 10
+	dialTimeout = time.Second
+	redialFirst = 20 * time.Millisecond
+	redialMost  = 500 * time.Millisecond
+	enrolWait   = 5 * time.Second
+)
+
+// Session is what a connection's bytes are for. Its methods run on the loop.
+type Session interface {
+	// Receive takes what it can of the bytes read so far and returns how many it is done with. An error closes
+	// the connection and is logged.
+	Receive(in []byte) (int, error)
+	// Closed says that the connection has ended; nothing is read or written any more.
+	Closed()
+}
+
+// Handler is the program behind the loop. Its methods run on the loop.
+type Handler interface {
+	// Accept returns the session of a new connection to the listener of that index.
+	Accept(listener int, c *Conn) Session
+	// Turn ends a turn, in which all that was ready has been received. It returns when the next one is due.
+	Turn(now micro.Time) micro.Time
+}
+
+// Options say what a Loop serves.
+type Options struct {
+	Listen   []string // addresses, in the order of Handler.Accept's index
+	MaxConns int      // accepted connections beyond this are closed at once
+	Clock    micro.Clock
+	Logf     func(format string, args ...any)
+}
+
+// Loop is the event loop.
+type Loop struct {
+	gnet.BuiltinEventEngine
+	opts    Options
+	handler Handler
+	engine  gnet.Engine
+	el      gnet.EventLoop
+	now     micro.Time // of this turn
+	pending bool       // the end of this turn is queued
+	dirty   []*Conn
+	timer   *time.Timer
+	armed   micro.Time
+	addrs   []*net.TCPAddr
+	conns   int
+	udp     *net.UDPConn
+	ended   atomic.Bool
+	booted  chan struct{}
+	done    chan error
+}
+
+// Conn is one connection, accepted or dialled. It has one buffer for what is read and not yet taken.
+type Conn struct {
+	loop     *Loop
+	gc       gnet.Conn
+	session  Session
+	buf      []byte
+	out      []byte
+	closing  bool // closed at the end of the turn, after what is unsent
+	closed   bool
+	accepted bool
+}
+
+// Start opens the listeners and runs the loop; what begin does comes first on it.
+func Start(opts Options, h Handler, begin func(*Loop)) (*Loop, error) {
+	l := &Loop{opts: opts, handler: h, armed: micro.Never, booted: make(chan struct{}), done: make(chan error, 1)}
+	l.timer = time.AfterFunc(time.Hour, l.wake)
+	l.timer.Stop()
+	addrs := make([]string, len(opts.Listen))
+	for i, a := range opts.Listen {
+		addrs[i] = "tcp://" + a
+	}
+	go func() {
+		// SO_REUSEPORT makes gnet accept on the loop that serves; without it, a second loop only accepts.
+		l.done <- gnet.Rotate(l, addrs, gnet.WithNumEventLoop(1), gnet.WithReusePort(true), gnet.WithReuseAddr(true),
+			gnet.WithReadBufferCap(readBuffer), gnet.WithTCPNoDelay(gnet.TCPNoDelay), gnet.WithLogger(quiet{opts.Logf}),
+			gnet.WithLogLevel(logging.WarnLevel))
+	}()
+	select {
+	case <-l.booted:
+	case err := <-l.done:
+		if err == nil {
+			err = errors.New("the loop ended at once")
+		}
+		return nil, fmt.Errorf("transport: listen: %w", err)
+	}
+	if err := l.enrolSelf(); err != nil {
+		l.Stop()
+		return nil, fmt.Errorf("transport: %w", err)
+	}
+	return l, l.Execute(func() { begin(l) })
+}
+
+// enrolSelf finds the loop's handle: gnet gives it only by a connection, so a datagram socket of our own is
+// enrolled for as long as that takes.
+func (l *Loop) enrolSelf() error {
+	c, err := net.Dial("udp", "127.0.0.1:9")
+	if err != nil {
+		return fmt.Errorf("datagram socket: %w", err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), enrolWait)
+	defer cancel()
+	for {
+		res, err := l.engine.Register(gnet.NewNetConnContext(ctx, c))
+		if err != nil { // the loops are not up yet
+			select {
+			case <-ctx.Done():
+				return fmt.Errorf("enrol: %w", err)
+			case <-time.After(time.Millisecond):
+				continue
+			}
+		}
+		r := <-res
+		if r.Err != nil {
+			return fmt.Errorf("enrol: %w", r.Err)
+		}
+		l.el = r.Conn.EventLoop()
+		return l.Execute(func() { _ = l.el.Close(r.Conn) })
+	}
+}
+
+// Addr is the address that the listener of that index got.
+func (l *Loop) Addr(i int) *net.TCPAddr { return l.addrs[i] }
+
+// Stop ends the loop; Wait returns after that.
+func (l *Loop) Stop() {
+	l.ended.Store(true)
+	go func() { _ = l.engine.Stop(context.Background()) }()
+}
+
+// Wait returns when the loop has ended.
+func (l *Loop) Wait() error {
+	err := <-l.done
+	l.timer.Stop()
+	return err
+}
+
+type task func()
+
+func (t task) Run(context.Context) error {
+	t()
+	return nil
+}
+
+// Execute runs f on the loop, in a turn. It may be called from anywhere.
+func (l *Loop) Execute(f func()) error {
+	return l.el.Execute(context.Background(), task(func() {
+		l.touch()
+		f()
+	}))
+}
+
+func (l *Loop) wake() {
+	if !l.ended.Load() {
+		_ = l.Execute(func() {})
+	}
+}
+
+// touch begins a turn, if none is under way: the clock is read, and the end is queued.
+func (l *Loop) touch() {
+	if l.pending {
+		return
+	}
+	l.pending, l.now = true, l.opts.Clock.Now()
+	if err := l.el.Execute(context.Background(), task(l.endTurn)); err != nil {
+		l.opts.Logf("transport: turn: %v", err)
+	}
+}
+
+// Now is the time of this turn.
+func (l *Loop) Now() micro.Time { return l.now }
+
+func (l *Loop) endTurn() {
+	l.pending = false
+	next := l.handler.Turn(l.now)
+	for i := 0; i < len(l.dirty); i++ { // a failed write may close a connection, and its session write to another
+		l.dirty[i].flush()
+	}
+	l.dirty = l.dirty[:0]
+	if next != l.armed || next <= l.now {
+		l.armed = next
+		if next == micro.Never {
+			l.timer.Stop()
+		} else {
+			l.timer.Reset(max(next-l.opts.Clock.Now(), 0).Duration())
+		}
+	}
+}
+
+// OnBoot notes the engine and the listeners' addresses.
+func (l *Loop) OnBoot(e gnet.Engine) gnet.Action {
+	l.engine = e
+	for _, a := range l.opts.Listen {
+		l.addrs = append(l.addrs, boundAddr(e, a))
+	}
+	close(l.booted)
+	return gnet.None
+}
+
+// boundAddr asks the system where a listener is bound, as its port may have been left to it.
+func boundAddr(e gnet.Engine, a string) *net.TCPAddr {
+	fd, err := e.DupListener("tcp", a)
+	if err != nil {
+		return nil
+	}
+	defer unix.Close(fd) //nolint:errcheck // a copy
+	return localAddr(fd)
+}
+
+func localAddr(fd int) *net.TCPAddr {
+	sa, err := unix.Getsockname(fd)
+	if err != nil {
+		return nil
+	}
+	switch sa := sa.(type) {
+	case *unix.SockaddrInet4:
+		return &net.TCPAddr{IP: sa.Addr[:], Port: sa.Port}
+	case *unix.SockaddrInet6:
+		return &net.TCPAddr{IP: sa.Addr[:], Port: sa.Port}
+	}
+	return nil
+}
+
+// OnOpen gives a new connection its session.
+func (l *Loop) OnOpen(gc gnet.Conn) ([]byte, gnet.Action) {
+	if gc.LocalAddr().Network() == "udp" {
+		return nil, gnet.None // the loop's own
+	}
+	l.touch()
+	if c, ok := gc.Context().(*Conn); ok { // dialled
+		c.gc = gc
+		_ = gc.SetNoDelay(true)
+		c.session = c.session.(*link).opened(c)
+		return nil, gnet.None
+	}
+	// Guards against running out of descriptors, upon which gnet gives up listening altogether.
+	if l.conns >= l.opts.MaxConns {
+		l.opts.Logf("transport: %s turned away: %d connections are open", gc.RemoteAddr(), l.conns)
+		return nil, gnet.Close
+	}
+	l.conns++
+	c := &Conn{loop: l, gc: gc, accepted: true}
+	gc.SetContext(c)
+	c.session = l.handler.Accept(l.listenerOf(gc), c)
+	return nil, gnet.None
+}
+
+// listenerOf finds the listener by the port that the connection came to.
+func (l *Loop) listenerOf(gc gnet.Conn) int {
+	if local := localAddr(gc.Fd()); local != nil {
+		for i, a := range l.addrs {
+			if a != nil && a.Port == local.Port && (a.IP.Equal(local.IP) || a.IP.IsUnspecified()) {
+				return i
+			}
+		}
+	}
+	return 0
+}
+
+// OnTraffic hands what was read to the session.
+func (l *Loop) OnTraffic(gc gnet.Conn) gnet.Action {
+	c, ok := gc.Context().(*Conn)
+	if !ok {
+		_, _ = gc.Discard(-1)
+		return gnet.None
+	}
+	l.touch()
+	in, err := gc.Next(-1)
+	if err != nil || c.closing {
+		return gnet.None
+	}
+	c.buf = append(c.buf, in...)
+	n, err := c.session.Receive(c.buf)
+	if err != nil {
+		l.opts.Logf("transport: %s closed: %v", gc.RemoteAddr(), err)
+		c.flush() // what is owed already, such as the protocol's own error
+		return gnet.Close
+	}
+	c.compact(n)
+	return gnet.None
+}
+
+// compact moves what is left to the front of the buffer; one that has grown large is let go once it is empty.
+func (c *Conn) compact(n int) {
+	left := copy(c.buf, c.buf[n:])
+	c.buf = c.buf[:left]
+	if left == 0 && cap(c.buf) > keepBuffer {
+		c.buf = nil
+	}
+}
+
+// OnClose ends the session.
+func (l *Loop) OnClose(gc gnet.Conn, _ error) gnet.Action {
+	c, ok := gc.Context().(*Conn)
+	if !ok || c.closed {
+		return gnet.None
+	}
+	l.touch()
+	c.closed, c.buf, c.out = true, nil, nil
+	if c.accepted {
+		l.conns--
+	}
+	c.session.Closed()
+	return gnet.None
+}
+
+// Write sends p at the end of the turn.
+func (c *Conn) Write(p []byte) {
+	if c.closed || c.closing {
+		return
+	}
+	c.mark()
+	c.out = append(c.out, p...)
+}
+
+// Close ends the connection at the end of the turn, after what was written.
+func (c *Conn) Close() {
+	if c.closed || c.closing {
+		return
+	}
+	c.mark()
+	c.closing = true
+}
+
+func (c *Conn) mark() {
+	if len(c.out) == 0 && !c.closing {
+		c.loop.dirty = append(c.loop.dirty, c)
+		c.loop.touch()
+	}
+}
+
+func (c *Conn) flush() {
+	if c.closed {
+		return
+	}
+	if len(c.out) > 0 {
+		out := c.out
+		c.out = c.out[:0]
+		if _, err := c.gc.Write(out); err != nil || c.closed {
+			return // gnet has closed it
+		}
+		if cap(c.out) > keepBuffer {
+			c.out = nil
+		}
+		// Guards the memory against a peer that asks and does not read.
+		if n := c.gc.OutboundBuffered(); n > maxUnsent {
+			c.loop.opts.Logf("transport: %s closed: %d bytes are unread", c.gc.RemoteAddr(), n)
+			c.closing = true
+		}
+	}
+	if c.closing {
+		_ = c.loop.el.Close(c.gc)
+	}
+}
+
+// Remote names the peer.
+func (c *Conn) Remote() string {
+	if a := c.gc.RemoteAddr(); a != nil {
+		return a.String()
+	}
+	return "a closed connection"
+}
+
+// Listeners and links share this: a link is the session of a dialled connection until that is open.
+type link struct {
+	loop  *Loop
+	addr  string
+	open  func(*Conn) Session
+	wait  time.Duration
+	again bool
+}
+
+// Dial opens a connection to addr on the loop; open gives its session. A link that cannot be opened is tried
+// again after a while, longer each time, until it can.
+func (l *Loop) Dial(addr string, open func(*Conn) Session) {
+	k := &link{loop: l, addr: addr, open: open, wait: redialFirst}
+	go k.dial()
+}
+
+func (k *link) dial() {
+	for !k.loop.ended.Load() {
+		nc, err := net.DialTimeout("tcp", k.addr, dialTimeout)
+		if err == nil {
+			ctx := gnet.NewContext(gnet.NewNetConnContext(context.Background(), nc), &Conn{loop: k.loop, session: k})
+			var res <-chan gnet.RegisteredResult
+			if res, err = k.loop.engine.Register(ctx); err == nil {
+				if r := <-res; r.Err == nil {
+					return
+				}
+			} else {
+				nc.Close() //nolint:errcheck // it was never used
+			}
+		}
+		time.Sleep(k.wait)
+		k.wait = min(2*k.wait, redialMost)
+	}
+}
+
+func (k *link) opened(c *Conn) Session { return k.open(c) }
+
+// Receive and Closed are never called: a link gives way to its session as it opens.
+func (k *link) Receive(in []byte) (int, error) { return len(in), nil }
+
+// Closed is part of Session.
+func (k *link) Closed() {}
+
+// Datagrams sets the peer of Send.
+func (l *Loop) Datagrams(addr string) error {
+	c, err := net.Dial("udp", addr)
+	if err != nil {
+		return fmt.Errorf("transport: %w", err)
+	}
+	l.udp = c.(*net.UDPConn)
+	return nil
+}
+
+// Send sends one datagram; it may be lost, as any may.
+func (l *Loop) Send(p []byte) {
+	if l.udp != nil {
+		_, _ = l.udp.Write(p)
+	}
+}
+
+// quiet passes on gnet's warnings and errors.
+type quiet struct {
+	logf func(string, ...any)
+}
+
+func (q quiet) Debugf(string, ...any)     {}
+func (q quiet) Infof(string, ...any)      {}
+func (q quiet) Warnf(f string, a ...any)  { q.logf("gnet: "+f, a...) }
+func (q quiet) Errorf(f string, a ...any) { q.logf("gnet: "+f, a...) }
+func (q quiet) Fatalf(f string, a ...any) { q.logf("gnet: "+f, a...) }
