--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -23,6 +23,7 @@
 type Conn interface {
 	Write([]byte)
 	Close()
+	Resume() // has Receive called again with what it left
 	Remote() string
 }
 
@@ -115,7 +116,10 @@
 	}
 	next := min(s.core.NextDue(), s.nextReport, s.nextSweep)
 	for a := range s.offices {
-		next = min(next, a.checkBody(now))
+		next = min(next, a.check(now))
+	}
+	if s.backends != nil {
+		next = min(next, s.backends.check(now))
 	}
 	if s.draining {
 		next = min(next, s.drain(now))
@@ -163,6 +167,9 @@
 		for t := range s.fronts {
 			t.farewell(now)
 		}
+		for a := range s.offices {
+			a.leave()
+		}
 	}
 	done := s.farewell && s.core.Drained() && len(s.fronts)+len(s.offices) == 0
 	if (done || now >= s.stopAt) && !s.stopped {
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -298,14 +298,36 @@
 		return gnet.None
 	}
 	c.buf = append(c.buf, in...)
+	if err := c.deliver(); err != nil {
+		return gnet.Close
+	}
+	return gnet.None
+}
+
+func (c *Conn) deliver() error {
 	n, err := c.session.Receive(c.buf)
 	if err != nil {
-		l.opts.Logf("transport: %s closed: %v", gc.RemoteAddr(), err)
+		c.loop.opts.Logf("transport: %s closed: %v", c.Remote(), err)
 		c.flush() // what is owed already, such as the protocol's own error
-		return gnet.Close
+		return err
 	}
 	c.compact(n)
-	return gnet.None
+	return nil
+}
+
+// Resume hands the session what it left in the buffer once more, in a task of its own.
+func (c *Conn) Resume() {
+	if len(c.buf) == 0 {
+		return
+	}
+	_ = c.loop.Execute(func() {
+		if c.closed || c.closing {
+			return
+		}
+		if err := c.deliver(); err != nil {
+			c.Close()
+		}
+	})
 }
 
 // compact moves what is left to the front of the buffer; one that has grown large is let go once it is empty.
