Play recorded byte exchanges against the program on a clock of the tests

Recording them showed one fault by reading: a run that the pool calls moot (NOOP) was settled without an answer (routing.go, finish), so that an AJP caller, of whom the pool knows nothing, would have waited for ever. It is answered as failed now; a Thrift caller that has left is not hurt by it.

--- a/internal/edge/ajp.go
+++ b/internal/edge/ajp.go
@@ -11,6 +11,7 @@
 	"pewterline/internal/micro"
 	"pewterline/internal/protocol/ajp"
 	"pewterline/internal/routing"
+	"pewterline/internal/transport"
 )
 
 // The headers by which a request tells what Thrift's fields tell. All but the class and the tenant may be left
@@ -42,7 +43,7 @@
 // ajpSession is the front for web servers that speak AJP, on one connection. It has one request at a time.
 type ajpSession struct {
 	s     *Server
-	conn  Conn
+	conn  transport.Link
 	phase ajpPhase
 	req   ajp.Request
 	body  []byte
@@ -53,7 +54,7 @@
 	out   []byte
 }
 
-func (s *Server) acceptAJP(c Conn) *ajpSession {
+func (s *Server) acceptAJP(c transport.Link) *ajpSession {
 	a := &ajpSession{s: s, conn: c, due: s.loop.Now() + idleMost}
 	s.offices[a] = struct{}{}
 	return a
--- a/internal/edge/ajprunner.go
+++ b/internal/edge/ajprunner.go
@@ -75,11 +75,11 @@
 	}
 	for r.dialing < len(r.queue) && len(r.links)+r.dialing < r.s.cfg.AJP.Connections {
 		r.dialing++
-		r.s.loop.Dial(r.s.cfg.AJP.Runner, func(c *transport.Conn) transport.Session { return r.opened(c) })
+		r.s.loop.Dial(r.s.cfg.AJP.Runner, func(c transport.Link) transport.Session { return r.opened(c) })
 	}
 }
 
-func (r *ajpRunner) opened(c Conn) *ajpBackend {
+func (r *ajpRunner) opened(c transport.Link) *ajpBackend {
 	b := &ajpBackend{r: r, conn: c}
 	r.dialing--
 	r.links[b] = struct{}{}
@@ -108,7 +108,7 @@
 // ajpBackend is one connection to the server that does the work.
 type ajpBackend struct {
 	r      *ajpRunner
-	conn   Conn
+	conn   transport.Link
 	run    *ajpRun
 	due    micro.Time
 	used   bool // it has carried a run, so it may have been closed meanwhile
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -19,18 +19,10 @@
 	lingerMost  = 2 * micro.Second        // for the peer of a connection that was told farewell
 )
 
-// Conn is what a session needs of its connection.
-type Conn interface {
-	Write([]byte)
-	Close()
-	Resume() // has Receive called again with what it left
-	Remote() string
-}
-
 // Loop is what the server needs of the event loop.
 type Loop interface {
 	Now() micro.Time
-	Dial(addr string, open func(*transport.Conn) transport.Session)
+	Dial(addr string, open func(transport.Link) transport.Session)
 	Send([]byte)
 	Stop()
 }
@@ -87,14 +79,14 @@
 func (s *Server) Attach(l Loop) {
 	s.loop = l
 	if s.pool != nil {
-		l.Dial(s.cfg.Pool, func(c *transport.Conn) transport.Session { return s.pool.opened(c) })
+		l.Dial(s.cfg.Pool, func(c transport.Link) transport.Session { return s.pool.opened(c) })
 	} else {
 		s.core.Begin(l.Now(), 0, false)
 	}
 }
 
 // Accept gives a connection its session. The first listener is the platform's, the second AJP's.
-func (s *Server) Accept(listener int, c *transport.Conn) transport.Session {
+func (s *Server) Accept(listener int, c transport.Link) transport.Session {
 	if listener == 1 {
 		return s.acceptAJP(c)
 	}
--- /dev/null
+++ b/internal/edge/play_test.go
@@ -0,0 +1,221 @@
+package edge
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"pewterline/internal/config"
+	"pewterline/internal/micro"
+	"pewterline/internal/transport"
+	"pewterline/internal/wire"
+)
+
+var update = flag.Bool("update", false, "record the program's side of the exchanges anew")
+
+// settings are the platform's, for a server of two cores.
+const settings = `{"classes": [
+ {"name": "block-view", "aim_ms": 1800, "hard_limit_ms": 4500, "worth": 1, "effect": "free"},
+ {"name": "lot-update", "aim_ms": 1800, "hard_limit_ms": 4500, "worth": 1, "effect": "free"},
+ {"name": "lot-intake", "aim_ms": 1800, "hard_limit_ms": 4500, "worth": 10, "effect": "guarded", "window_ms": 13518}],
+ "client_habits": {"marks_retry": true}, "limits": {"retry_after": true, "max_retry_after_ms": 1000},
+ "extra": {"cores": 2, "memory_kb": 47610, "key_kb": 154.5, "run_factor": 8, "stop_mode": "discard", "say": "floor",
+ "downstream": "none", "gauges": ["cpu_busy", "runnable", "mem_used", "sockets"], "keepalive_max_ms": 30000},
+ "rules": {"cold_from": 0.24, "ramp_time_ms": 17000, "stop_sending_within_ms": 2500, "fall_multiple": 8,
+ "tip_after_ms": 3000, "grace_to_answer_ms": 100}, "tenants": [{"name": "hill-estate", "quota_rps": 69},
+ {"name": "lake-vines", "quota_rps": 43}, {"name": "valley-rows", "quota_rps": 32}]}`
+
+// stage is a loop without sockets, on a clock that the test moves.
+type stage struct {
+	t       *testing.T
+	srv     *Server
+	now     micro.Time
+	next    micro.Time
+	links   map[string]*fakeLink
+	order   []string
+	dials   []func(transport.Link) transport.Session
+	report  string
+	reports []string
+	stopped bool
+	logged  []string
+}
+
+// fakeLink is a connection whose bytes the test reads and writes.
+type fakeLink struct {
+	name    string
+	session transport.Session
+	in, out []byte
+	closed  bool
+	resume  bool
+	told    bool // its close is in the transcript
+}
+
+func (l *fakeLink) Write(p []byte) {
+	if !l.closed {
+		l.out = append(l.out, p...)
+	}
+}
+func (l *fakeLink) Close()         { l.closed = true }
+func (l *fakeLink) Resume()        { l.resume = true }
+func (l *fakeLink) Remote() string { return l.name }
+
+func (s *stage) Now() micro.Time { return s.now }
+func (s *stage) Stop()           { s.stopped = true }
+func (s *stage) Send(p []byte) {
+	if text := string(p); text != s.report {
+		s.report, s.reports = text, append(s.reports, text)
+	}
+}
+func (s *stage) Dial(_ string, open func(transport.Link) transport.Session) {
+	s.dials = append(s.dials, open)
+}
+
+func newStage(t *testing.T, ajp config.AJP) *stage {
+	set, gauges, err := wire.ParseSettings([]byte(settings), 7)
+	require.NoError(t, err)
+	cfg := config.Config{Name: "n0", Pool: "pool", Stop: 3200 * micro.Millisecond, Settings: set, Gauges: gauges, AJP: ajp}
+	s := &stage{t: t, now: micro.Second, links: map[string]*fakeLink{}}
+	instant := func(ms int64) micro.Time { return micro.Time(ms) * micro.Millisecond }
+	s.srv, err = New(cfg, instant, func(f string, a ...any) { s.logged = append(s.logged, fmt.Sprintf(f, a...)) })
+	require.NoError(t, err)
+	s.srv.Attach(s)
+	return s
+}
+
+// connect opens a connection: to a listener, or as the next one that the program has dialled.
+func (s *stage) connect(name string, listener int) *fakeLink {
+	l := &fakeLink{name: name}
+	if listener < 0 {
+		require.NotEmpty(s.t, s.dials, "nothing was dialled")
+		open := s.dials[0]
+		s.dials = s.dials[1:]
+		l.session = open(l)
+	} else {
+		l.session = s.srv.Accept(listener, l)
+	}
+	if s.links[name] == nil {
+		s.order = append(s.order, name)
+	}
+	s.links[name] = l
+	return l
+}
+
+func (s *stage) deliver(l *fakeLink, p []byte) {
+	l.in = append(l.in, p...)
+	n, err := l.session.Receive(l.in)
+	l.in = l.in[n:]
+	if err != nil {
+		s.logged = append(s.logged, err.Error())
+		l.closed = true
+	}
+}
+
+// turn ends a turn, then drops the connections that the program has closed.
+func (s *stage) turn() {
+	s.next = s.srv.Turn(s.now)
+	for _, name := range s.order {
+		if l := s.links[name]; l.closed && l.session != nil {
+			l.session.Closed()
+			l.session = nil
+		} else if l.resume {
+			l.resume = false
+			s.deliver(l, nil)
+			s.turn()
+		}
+	}
+}
+
+// advance moves the clock, with a turn whenever one is due.
+func (s *stage) advance(to micro.Time) {
+	for s.next <= to && !s.stopped {
+		s.now = max(s.now, s.next)
+		s.turn()
+	}
+	s.now = to
+}
+
+// played runs the lines of an exchange and returns them with what the program wrote. The polls of the gauges,
+// one a tick, are left out, and so are reports that say the same as the one before.
+func (s *stage) played(lines []string) string {
+	var out strings.Builder
+	outputs := func() {
+		for _, name := range s.order {
+			l := s.links[name]
+			text := strings.ReplaceAll(string(l.out), "poll g\r\n", "")
+			if l.out = l.out[:0]; text != "" {
+				fmt.Fprintf(&out, "%s < %s\n", name, strconv.Quote(text))
+			}
+			if l.session == nil && !l.told {
+				l.told = true
+				fmt.Fprintf(&out, "%s is closed\n", name)
+			}
+		}
+		for _, r := range s.reports {
+			fmt.Fprintf(&out, "control < %s\n", strconv.Quote(r))
+		}
+		s.reports = nil
+		if s.stopped {
+			fmt.Fprintln(&out, "the program ends")
+		}
+	}
+	for _, line := range lines {
+		if strings.Contains(line, " < ") || strings.HasSuffix(line, " is closed") || line == "the program ends" {
+			continue // the program's side
+		}
+		fmt.Fprintln(&out, line)
+		words := strings.SplitN(line, " ", 3)
+		switch {
+		case line == "" || strings.HasPrefix(line, "#"):
+			continue
+		case line[0] == '@':
+			ms, err := strconv.Atoi(line[1:])
+			require.NoError(s.t, err, line)
+			s.advance(micro.Time(ms) * micro.Millisecond)
+		case words[0] == "drain":
+			s.srv.Drain(s.now)
+		case words[0] == "open":
+			s.connect(words[1], map[string]int{"thrift": 0, "ajp": 1, "dialled": -1}[words[2]])
+		case words[0] == "close":
+			s.links[words[1]].closed = true
+		default:
+			p, err := strconv.Unquote(words[2])
+			require.NoError(s.t, err, line)
+			s.deliver(s.links[words[0]], []byte(p))
+		}
+		s.turn()
+		outputs()
+	}
+	return out.String()
+}
+
+// Each file of testdata is an exchange: what the peers send, and what the program is to answer.
+func TestPlay(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.txt")
+	require.NoError(t, err)
+	require.NotEmpty(t, files)
+	for _, file := range files {
+		t.Run(filepath.Base(file), func(t *testing.T) {
+			text, err := os.ReadFile(file)
+			require.NoError(t, err)
+			var ajp config.AJP
+			if strings.Contains(file, "ajp") {
+				ajp = config.AJP{Secret: "vine", BodyTimeout: 500 * micro.Millisecond, MaxBody: 100, Connections: 2, RunnerPath: "/run"}
+			}
+			if strings.Contains(file, "runner") {
+				ajp.Runner = "backend"
+			}
+			got := newStage(t, ajp).played(strings.Split(strings.TrimSuffix(string(text), "\n"), "\n"))
+			if *update {
+				require.NoError(t, os.WriteFile(file, []byte(got), 0o644))
+				return
+			}
+			require.Equal(t, string(text), got)
+		})
+	}
+}
--- a/internal/edge/pool.go
+++ b/internal/edge/pool.go
@@ -17,9 +17,9 @@
 // bound, the notices that were missed come first, and only then is sent again what may have been lost.
 type poolLink struct {
 	s      *Server
-	conn   Conn // nil while there is no link
-	synced bool // the missed notices of this link have been read
-	links  int  // opened so far; names the poll that marks their end
+	conn   transport.Link // nil while there is no link
+	synced bool           // the missed notices of this link have been read
+	links  int            // opened so far; names the poll that marks their end
 	notice uint64
 	runs   map[string]*poolRun
 	order  int
@@ -36,7 +36,7 @@
 
 func newPoolLink(s *Server) *poolLink { return &poolLink{s: s, runs: map[string]*poolRun{}} }
 
-func (p *poolLink) opened(c Conn) transport.Session {
+func (p *poolLink) opened(c transport.Link) transport.Session {
 	p.conn, p.synced = c, false
 	p.links++
 	p.write(pool.AppendBind(p.out[:0], p.notice))
@@ -109,7 +109,7 @@
 func (p *poolLink) Closed() {
 	p.conn, p.synced = nil, false
 	p.s.logf("pool: link lost, %d runs under way", len(p.runs))
-	p.s.loop.Dial(p.s.cfg.Pool, func(c *transport.Conn) transport.Session { return p.opened(c) })
+	p.s.loop.Dial(p.s.cfg.Pool, func(c transport.Link) transport.Session { return p.opened(c) })
 }
 
 var poolEnds = map[pool.End]routing.End{
--- a/internal/edge/thrift.go
+++ b/internal/edge/thrift.go
@@ -8,6 +8,7 @@
 	"pewterline/internal/micro"
 	"pewterline/internal/protocol/thrift"
 	"pewterline/internal/routing"
+	"pewterline/internal/transport"
 )
 
 // maxOpen bounds the open requests of a connection: twice what the platform allows, as answers cross requests.
@@ -16,7 +17,7 @@
 // thriftSession is the platform's front on one connection.
 type thriftSession struct {
 	s      *Server
-	conn   Conn
+	conn   transport.Link
 	open   map[int32]control.ID // by sequence number
 	last   micro.Time           // of the last request or answer
 	bidden bool                 // farewell was sent
@@ -24,7 +25,7 @@
 	out    []byte // scratch
 }
 
-func (s *Server) acceptThrift(c Conn) *thriftSession {
+func (s *Server) acceptThrift(c transport.Link) *thriftSession {
 	t := &thriftSession{s: s, conn: c, open: map[int32]control.ID{}, last: s.loop.Now()}
 	s.fronts[t] = struct{}{}
 	if s.farewell {
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -404,7 +404,7 @@
 		return false
 	}
 	w := r.key.waiters[0]
-	c.settle(r)
+	c.answer(r, Answer{Status: Failed, Reason: "the run was not started"})
 	delete(c.runs, r.RunID)
 	r.RunID, r.Body = w.RunID, w.Body
 	// The waiter stays joined and is answered with the run; its RunID now leads to the run.
@@ -428,13 +428,9 @@
 		outcome = control.OutcomeCancelled
 		c.answer(r, Answer{Status: Failed, Reason: "the run was stopped"})
 	case Unneeded:
-		// The module takes no notice of a moot run, and would count it as running for ever; for a caller that
-		// has left, a cancelled one is the end.
+		// The module takes no notice of a moot run, and would count it as running for ever; a cancelled one is
+		// the end. A caller that has left is not hurt by the answer, and one that has not is owed it.
 		outcome = control.OutcomeCancelled
-		if r.state == running && !r.answered {
-			c.settle(r)
-			c.events = append(c.events, control.Gone{ID: r.id})
-		}
 		c.answer(r, Answer{Status: Failed, Reason: "the run was not started"})
 	}
 	c.events = append(c.events, control.Done{ID: r.id, Outcome: outcome})
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -41,10 +41,18 @@
 	Closed()
 }
 
+// Link is what a session may do with its connection.
+type Link interface {
+	Write(p []byte) // sends p at the end of the turn
+	Close()         // ends the connection at the end of the turn, after what was written
+	Resume()        // has Receive called again with what it left, in a turn to come
+	Remote() string // names the peer
+}
+
 // Handler is the program behind the loop. Its methods run on the loop.
 type Handler interface {
 	// Accept returns the session of a new connection to the listener of that index.
-	Accept(listener int, c *Conn) Session
+	Accept(listener int, c Link) Session
 	// Turn ends a turn, in which all that was ready has been received. It returns when the next one is due.
 	Turn(now micro.Time) micro.Time
 }
@@ -258,7 +266,7 @@
 	if c, ok := gc.Context().(*Conn); ok { // dialled
 		c.gc = gc
 		_ = gc.SetNoDelay(true)
-		c.session = c.session.(*link).opened(c)
+		c.session = c.session.(*dialled).opened(c)
 		return nil, gnet.None
 	}
 	// Guards against running out of descriptors, upon which gnet gives up listening altogether.
@@ -315,7 +323,7 @@
 	return nil
 }
 
-// Resume hands the session what it left in the buffer once more, in a task of its own.
+// Resume is part of Link. Where there is nothing left, there is nothing to do.
 func (c *Conn) Resume() {
 	if len(c.buf) == 0 {
 		return
@@ -354,7 +362,7 @@
 	return gnet.None
 }
 
-// Write sends p at the end of the turn.
+// Write is part of Link.
 func (c *Conn) Write(p []byte) {
 	if c.closed || c.closing {
 		return
@@ -363,7 +371,7 @@
 	c.out = append(c.out, p...)
 }
 
-// Close ends the connection at the end of the turn, after what was written.
+// Close is part of Link.
 func (c *Conn) Close() {
 	if c.closed || c.closing {
 		return
@@ -403,7 +411,7 @@
 	}
 }
 
-// Remote names the peer.
+// Remote is part of Link.
 func (c *Conn) Remote() string {
 	if a := c.gc.RemoteAddr(); a != nil {
 		return a.String()
@@ -411,23 +419,23 @@
 	return "a closed connection"
 }
 
-// Listeners and links share this: a link is the session of a dialled connection until that is open.
-type link struct {
+// dialled is the session of a dialled connection until that is open.
+type dialled struct {
 	loop  *Loop
 	addr  string
-	open  func(*Conn) Session
+	open  func(Link) Session
 	wait  time.Duration
 	again bool
 }
 
 // Dial opens a connection to addr on the loop; open gives its session. A link that cannot be opened is tried
 // again after a while, longer each time, until it can.
-func (l *Loop) Dial(addr string, open func(*Conn) Session) {
-	k := &link{loop: l, addr: addr, open: open, wait: redialFirst}
+func (l *Loop) Dial(addr string, open func(Link) Session) {
+	k := &dialled{loop: l, addr: addr, open: open, wait: redialFirst}
 	go k.dial()
 }
 
-func (k *link) dial() {
+func (k *dialled) dial() {
 	for !k.loop.ended.Load() {
 		nc, err := net.DialTimeout("tcp", k.addr, dialTimeout)
 		if err == nil {
@@ -446,13 +454,13 @@
 	}
 }
 
-func (k *link) opened(c *Conn) Session { return k.open(c) }
+func (k *dialled) opened(c *Conn) Session { return k.open(c) }
 
 // Receive and Closed are never called: a link gives way to its session as it opens.
-func (k *link) Receive(in []byte) (int, error) { return len(in), nil }
+func (k *dialled) Receive(in []byte) (int, error) { return len(in), nil }
 
 // Closed is part of Session.
-func (k *link) Closed() {}
+func (k *dialled) Closed() {}
 
 // Datagrams sets the peer of Send.
 func (l *Loop) Datagrams(addr string) error {
