--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,68 @@
+package config
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"pewterline/internal/micro"
+)
+
+const good = `{"name": "n3", "listen": "127.0.0.1:4100", "pool": "127.0.0.1:9300", "control": "127.0.0.1:7946",
+ "seed": "8c1f30d27a5be964", "stop_ms": 3200, "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+ "settings": {"classes": [{"name": "a", "aim_ms": 1000, "hard_limit_ms": 4000, "worth": 1, "effect": "free"}],
+ "extra": {"cores": 4, "gauges": ["cpu_busy"]}}}`
+
+func TestGood(t *testing.T) {
+	c, err := parse([]byte(good), []byte("[front]\nlisten = \"127.0.0.1:8009\"\n"), "", "127.0.0.2:4100")
+	require.NoError(t, err)
+	require.Equal(t, "n3", c.Name)
+	require.Equal(t, "127.0.0.2:4100", c.Listen, "the environment wins")
+	require.Equal(t, 3200*micro.Millisecond, c.Stop)
+	require.EqualValues(t, 192<<20, c.Memory)
+	require.Equal(t, uint64(0x8c1f30d27a5be964), c.Settings.Seed)
+	require.Equal(t, []string{"cpu_busy"}, c.Gauges)
+	require.Equal(t, "127.0.0.1:8009", c.AJP.Listen)
+	require.Equal(t, defaultMaxBody, c.AJP.MaxBody)
+}
+
+// Every error names the key at fault.
+func TestErrorsNameTheKey(t *testing.T) {
+	for _, c := range []struct{ old, new, ajp, want string }{
+		{`"name": "n3"`, `"name": "n 3"`, "", "name:"},
+		{`"127.0.0.1:4100"`, `"here"`, "", "listen:"},
+		{`"127.0.0.1:9300"`, `""`, "", "pool:"},
+		{`"127.0.0.1:7946"`, `"x:y"`, "", "control:"},
+		{`"8c1f30d27a5be964"`, `"zz"`, "", "seed:"},
+		{`3200`, `-1`, "", "stop_ms:"},
+		{`3200`, `"soon"`, "", "stop_ms:"},
+		{`192`, `8`, "", "limits.memory_mb:"},
+		{`1024`, `3`, "", "limits.sockets:"},
+		{`"cores": 4`, `"cores": 0`, "", "settings.extra.cores:"},
+		{`"free"`, `"odd"`, "", "effect"},
+		{`}}}`, ``, "", "RELAY_CONFIG:"},
+		{"", "", "[front]\nlisten = \"nowhere\"", "front.listen:"},
+		{"", "", "[front]\nbody_timeout_ms = 0", "front.body_timeout_ms:"},
+		{"", "", "[front]\nmax_body_bytes = -1", "front.max_body_bytes:"},
+		{"", "", "[front]\ncolour = 1", "front.colour: unknown"},
+		{"", "", "[runner]\naddress = \"x\"", "runner.address:"},
+		{"", "", "[runner]\nconnections = 0", "runner.connections:"},
+		{"", "", "[runner]\npath = \"run\"", "runner.path:"},
+		{"", "", "front = [", "ajp.toml:"},
+	} {
+		_, err := parse([]byte(strings.Replace(good, c.old, c.new, 1)), []byte(c.ajp), "", "")
+		require.ErrorContains(t, err, c.want)
+	}
+	_, err := Load(func(string) string { return "" })
+	require.ErrorContains(t, err, "RELAY_CONFIG")
+}
+
+// The file that ships is off: the platform runs with it.
+func TestShippedFileIsOff(t *testing.T) {
+	env := map[string]string{"RELAY_CONFIG": "testdata/config.json", "RELAY_AJP": "../../deploy/ajp.toml"}
+	c, err := Load(func(k string) string { return env[k] })
+	require.NoError(t, err)
+	require.Empty(t, c.AJP.Listen)
+	require.Empty(t, c.AJP.Runner)
+}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -71,7 +71,8 @@
 	opts    Options
 	handler Handler
 	engine  gnet.Engine
-	el      gnet.EventLoop
+	el      gnet.EventLoop // from the first connection on
+	begin   func(*Loop)
 	now     micro.Time // of this turn
 	pending bool       // the end of this turn is queued
 	dirty   []*Conn
@@ -97,9 +98,9 @@
 	accepted bool
 }
 
-// Start opens the listeners and runs the loop; what begin does comes first on it.
+// Start opens the listeners and runs the loop; begin comes first on it, before any session.
 func Start(opts Options, h Handler, begin func(*Loop)) (*Loop, error) {
-	l := &Loop{opts: opts, handler: h, armed: micro.Never, booted: make(chan struct{}), done: make(chan error, 1)}
+	l := &Loop{opts: opts, handler: h, begin: begin, armed: micro.Never, booted: make(chan struct{}), done: make(chan error, 1)}
 	l.timer = time.AfterFunc(time.Hour, l.wake)
 	l.timer.Stop()
 	addrs := make([]string, len(opts.Listen))
@@ -124,10 +125,10 @@
 		l.Stop()
 		return nil, fmt.Errorf("transport: %w", err)
 	}
-	return l, l.Execute(func() { begin(l) })
+	return l, nil
 }
 
-// enrolSelf finds the loop's handle: gnet gives it only by a connection, so a datagram socket of our own is
+// enrolSelf has the loop begin: gnet gives its handle only by a connection, so a datagram socket of our own is
 // enrolled for as long as that takes.
 func (l *Loop) enrolSelf() error {
 	c, err := net.Dial("udp", "127.0.0.1:9")
@@ -150,7 +151,6 @@
 		if r.Err != nil {
 			return fmt.Errorf("enrol: %w", r.Err)
 		}
-		l.el = r.Conn.EventLoop()
 		return l.Execute(func() { _ = l.el.Close(r.Conn) })
 	}
 }
@@ -259,6 +259,13 @@
 
 // OnOpen gives a new connection its session.
 func (l *Loop) OnOpen(gc gnet.Conn) ([]byte, gnet.Action) {
+	// Guards against a caller that connects as soon as the port listens, ahead of our own socket: the program
+	// behind the loop must have begun.
+	if l.el == nil {
+		l.el = gc.EventLoop()
+		l.touch()
+		l.begin(l)
+	}
 	if gc.LocalAddr().Network() == "udp" {
 		return nil, gnet.None // the loop's own
 	}
