Enrol the loop's own socket only once gnet's loop runs

Seen: the race detector, on the loopback test, in gnet's load balancer: Engine.Register read the list of loops while the engine still added to it (transport.go, enrolSelf). gnet starts its ticker after its loops, so the first OnTick is the sign to wait for; the retries go.

--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -29,7 +29,6 @@
 	dialTimeout = time.Second
 	redialFirst = 20 * time.Millisecond
 	redialMost  = 500 * time.Millisecond
-	enrolWait   = 5 * time.Second
 )
 
 // Session is what a connection's bytes are for. Its methods run on the loop.
@@ -82,8 +81,9 @@
 	conns   int
 	udp     *net.UDPConn
 	ended   atomic.Bool
-	booted  chan struct{}
+	up      chan struct{}
 	done    chan error
+	ticked  bool // of gnet's ticker alone
 }
 
 // Conn is one connection, accepted or dialled. It has one buffer for what is read and not yet taken.
@@ -100,7 +100,7 @@
 
 // Start opens the listeners and runs the loop; begin comes first on it, before any session.
 func Start(opts Options, h Handler, begin func(*Loop)) (*Loop, error) {
-	l := &Loop{opts: opts, handler: h, begin: begin, armed: micro.Never, booted: make(chan struct{}), done: make(chan error, 1)}
+	l := &Loop{opts: opts, handler: h, begin: begin, armed: micro.Never, up: make(chan struct{}), done: make(chan error, 1)}
 	l.timer = time.AfterFunc(time.Hour, l.wake)
 	l.timer.Stop()
 	addrs := make([]string, len(opts.Listen))
@@ -109,12 +109,12 @@
 	}
 	go func() {
 		// SO_REUSEPORT makes gnet accept on the loop that serves; without it, a second loop only accepts.
-		l.done <- gnet.Rotate(l, addrs, gnet.WithNumEventLoop(1), gnet.WithReusePort(true), gnet.WithReuseAddr(true),
+		l.done <- gnet.Rotate(l, addrs, gnet.WithNumEventLoop(1), gnet.WithReusePort(true), gnet.WithReuseAddr(true), gnet.WithTicker(true),
 			gnet.WithReadBufferCap(readBuffer), gnet.WithTCPNoDelay(gnet.TCPNoDelay), gnet.WithLogger(quiet{opts.Logf}),
 			gnet.WithLogLevel(logging.WarnLevel))
 	}()
 	select {
-	case <-l.booted:
+	case <-l.up:
 	case err := <-l.done:
 		if err == nil {
 			err = errors.New("the loop ended at once")
@@ -135,24 +135,15 @@
 	if err != nil {
 		return fmt.Errorf("datagram socket: %w", err)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), enrolWait)
-	defer cancel()
-	for {
-		res, err := l.engine.Register(gnet.NewNetConnContext(ctx, c))
-		if err != nil { // the loops are not up yet
-			select {
-			case <-ctx.Done():
-				return fmt.Errorf("enrol: %w", err)
-			case <-time.After(time.Millisecond):
-				continue
-			}
-		}
-		r := <-res
-		if r.Err != nil {
-			return fmt.Errorf("enrol: %w", r.Err)
-		}
-		return l.Execute(func() { _ = l.el.Close(r.Conn) })
+	res, err := l.engine.Register(gnet.NewNetConnContext(context.Background(), c))
+	if err != nil {
+		return fmt.Errorf("enrol: %w", err)
 	}
+	r := <-res
+	if r.Err != nil {
+		return fmt.Errorf("enrol: %w", r.Err)
+	}
+	return l.Execute(func() { _ = l.el.Close(r.Conn) })
 }
 
 // Addr is the address that the listener of that index got.
@@ -229,10 +220,18 @@
 	for _, a := range l.opts.Listen {
 		l.addrs = append(l.addrs, boundAddr(e, a))
 	}
-	close(l.booted)
 	return gnet.None
 }
 
+// OnTick is first called once the loop runs: from then on gnet can be given connections.
+func (l *Loop) OnTick() (time.Duration, gnet.Action) {
+	if !l.ticked {
+		l.ticked = true
+		close(l.up)
+	}
+	return time.Hour, gnet.None
+}
+
 // boundAddr asks the system where a listener is bound, as its port may have been left to it.
 func boundAddr(e gnet.Engine, a string) *net.TCPAddr {
 	fd, err := e.DupListener("tcp", a)
