--- a/cmd/pewterline/main.go
+++ b/cmd/pewterline/main.go
@@ -14,6 +14,7 @@
 	"pewterline/internal/config"
 	"pewterline/internal/edge"
 	"pewterline/internal/micro"
+	"pewterline/internal/store"
 	"pewterline/internal/transport"
 )
 
@@ -39,25 +40,33 @@
 	debug.SetMemoryLimit(cfg.Memory / 2)
 	runtime.GOMAXPROCS(2)
 	clock := micro.NewClock()
-	srv, err := edge.New(cfg, clock.FromUnixMilli, log.Printf)
+	srv, err := edge.New(cfg, clock, log.Printf)
 	if err != nil {
 		return err
 	}
+	if cfg.Store.Driver != "" {
+		st, err := store.Open(cfg.Store.Driver, cfg.Store.DSN, cfg.Name, cfg.Store.Timeout)
+		if err != nil {
+			return err
+		}
+		defer func() {
+			if err := st.Close(); err != nil {
+				log.Printf("store: close: %v", err)
+			}
+		}()
+		if err := srv.UseStore(st, clock.Now()); err != nil {
+			return err
+		}
+	}
 	opts := transport.Options{
-		Listen: []string{cfg.Listen}, MaxConns: cfg.Sockets - spareSockets - cfg.AJP.Connections, Clock: clock, Logf: log.Printf,
+		Listen: []string{cfg.Listen}, Datagrams: cfg.Control, MaxConns: cfg.Sockets - spareSockets - cfg.AJP.Connections, Clock: clock, Logf: log.Printf,
 	}
 	if cfg.AJP.Listen != "" {
 		opts.Listen = append(opts.Listen, cfg.AJP.Listen)
 	}
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	var dgram error
-	loop, err := transport.Start(opts, srv, func(l *transport.Loop) {
-		if cfg.Control != "" {
-			dgram = l.Datagrams(cfg.Control)
-		}
-		srv.Attach(l)
-	})
+	loop, err := transport.Start(opts, srv, func(l *transport.Loop) { srv.Attach(l) })
 	if err != nil {
 		return err
 	}
@@ -68,8 +77,5 @@
 		}
 	}()
 	log.Printf("%s serves on %v", cfg.Name, loop.Addr(0))
-	if err := loop.Wait(); err != nil {
-		return err
-	}
-	return dgram
+	return loop.Wait()
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -11,6 +11,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/BurntSushi/toml"
 
@@ -31,6 +32,14 @@
 	Settings control.Settings
 	Gauges   []string // the pool's gauges, in their order
 	AJP      AJP
+	Store    Store
+}
+
+// Store is deploy/store.toml.
+type Store struct {
+	Driver  string // empty: no store of record
+	DSN     string
+	Timeout time.Duration // of every wait for it
 }
 
 // AJP is deploy/ajp.toml.
@@ -39,6 +48,7 @@
 	Secret      string     // empty: none is asked for
 	BodyTimeout micro.Time // how long a caller may take over a body
 	MaxBody     int
+	MaxConns    int    // of the front; they come out of the limit on sockets
 	Runner      string // empty: the worker pool does the work
 	RunnerKey   string
 	RunnerPath  string
@@ -54,7 +64,10 @@
 	defaultMaxBody     = 2 << 10
 	maxMaxBody         = 1 << 20
 	defaultConnections = 32
+	defaultMaxConns    = 128
 	defaultAJPFile     = "deploy/ajp.toml"
+	defaultStoreFile   = "deploy/store.toml"
+	defaultStoreMS     = 1000
 )
 
 type file struct {
@@ -83,19 +96,32 @@
 	if err != nil {
 		return Config{}, fmt.Errorf("config: RELAY_CONFIG: %w", err)
 	}
-	ajpPath := getenv("RELAY_AJP")
-	ajpText, err := os.ReadFile(orString(ajpPath, defaultAJPFile))
-	if errors.Is(err, fs.ErrNotExist) && ajpPath == "" {
-		err = nil
+	ajp, err := optional(getenv, "RELAY_AJP", defaultAJPFile)
+	if err != nil {
+		return Config{}, err
+	}
+	store, err := optional(getenv, "RELAY_STORE", defaultStoreFile)
+	if err != nil {
+		return Config{}, err
+	}
+	return parse(text, ajp, store, getenv("RELAY_NAME"), getenv("RELAY_LISTEN"))
+}
+
+// optional reads a file that may be missing, unless the environment names it.
+func optional(getenv func(string) string, key, path string) ([]byte, error) {
+	named := getenv(key)
+	text, err := os.ReadFile(orString(named, path))
+	if errors.Is(err, fs.ErrNotExist) && named == "" {
+		return nil, nil
 	}
 	if err != nil {
-		return Config{}, fmt.Errorf("config: RELAY_AJP: %w", err)
+		return nil, fmt.Errorf("config: %s: %w", key, err)
 	}
-	return parse(text, ajpText, getenv("RELAY_NAME"), getenv("RELAY_LISTEN"))
+	return text, nil
 }
 
-// parse checks both files; the name and the address of the environment win over the file's.
-func parse(text, ajpText []byte, name, listen string) (Config, error) {
+// parse checks the files; the name and the address of the environment win over the file's.
+func parse(text, ajpText, storeText []byte, name, listen string) (Config, error) {
 	var f file
 	if err := json.Unmarshal(text, &f); err != nil {
 		var wrong *json.UnmarshalTypeError
@@ -112,6 +138,9 @@
 	if c.AJP, err = parseAJP(ajpText); err != nil {
 		return c, err
 	}
+	if c.Store, err = parseStore(storeText); err != nil {
+		return c, err
+	}
 	if c.Name == "" || strings.ContainsAny(c.Name, " \r\n\t") {
 		return c, fmt.Errorf("config: name: %q is not one word", c.Name)
 	}
@@ -173,6 +202,7 @@
 		Secret    string `toml:"secret"`
 		BodyMS    *int   `toml:"body_timeout_ms"`
 		BodyBytes *int   `toml:"max_body_bytes"`
+		MaxConns  *int   `toml:"max_connections"`
 	} `toml:"front"`
 	Runner struct {
 		Address     string `toml:"address"`
@@ -182,19 +212,56 @@
 	} `toml:"runner"`
 }
 
-func parseAJP(text []byte) (AJP, error) {
-	var f ajpFile
-	meta, err := toml.Decode(string(text), &f)
+// decode reads a TOML file that may hold no other keys than into has.
+func decode(name string, text []byte, into any) error {
+	meta, err := toml.Decode(string(text), into)
 	if err != nil {
-		return AJP{}, fmt.Errorf("config: ajp.toml: %w", err)
+		return fmt.Errorf("config: %s: %w", name, err)
 	}
 	if extra := meta.Undecoded(); len(extra) > 0 {
-		return AJP{}, fmt.Errorf("config: ajp.toml: %s: unknown key", extra[0])
+		return fmt.Errorf("config: %s: %s: unknown key", name, extra[0])
+	}
+	return nil
+}
+
+func parseStore(text []byte) (Store, error) {
+	var f struct {
+		Driver    string `toml:"driver"`
+		DSN       string `toml:"dsn"`
+		TimeoutMS *int   `toml:"timeout_ms"`
+	}
+	if err := decode("store.toml", text, &f); err != nil {
+		return Store{}, err
+	}
+	s := Store{Driver: f.Driver, DSN: f.DSN, Timeout: defaultStoreMS * time.Millisecond}
+	switch f.Driver {
+	case "":
+		return s, nil
+	case "sqlite", "postgres":
+	default:
+		return s, fmt.Errorf("config: store.toml: driver: %q is neither sqlite nor postgres", f.Driver)
+	}
+	if f.DSN == "" {
+		return s, errors.New("config: store.toml: dsn: missing")
+	}
+	if n := f.TimeoutMS; n != nil {
+		if *n < 1 || *n > 60_000 {
+			return s, fmt.Errorf("config: store.toml: timeout_ms: %d is not within 1 to 60000", *n)
+		}
+		s.Timeout = time.Duration(*n) * time.Millisecond
+	}
+	return s, nil
+}
+
+func parseAJP(text []byte) (AJP, error) {
+	var f ajpFile
+	if err := decode("ajp.toml", text, &f); err != nil {
+		return AJP{}, err
 	}
 	a := AJP{
 		Listen: f.Front.Listen, Secret: f.Front.Secret, BodyTimeout: defaultBodyMS * micro.Millisecond,
 		MaxBody: defaultMaxBody, Runner: f.Runner.Address, RunnerKey: f.Runner.Secret,
-		RunnerPath: orString(f.Runner.Path, "/run"), Connections: defaultConnections,
+		RunnerPath: orString(f.Runner.Path, "/run"), Connections: defaultConnections, MaxConns: defaultMaxConns,
 	}
 	if a.Listen != "" {
 		if err := address("ajp.toml: front.listen", a.Listen); err != nil {
@@ -218,6 +285,12 @@
 		}
 		a.MaxBody = *n
 	}
+	if n := f.Front.MaxConns; n != nil {
+		if *n < 1 || *n > 512 {
+			return a, fmt.Errorf("config: ajp.toml: front.max_connections: %d is not within 1 to 512", *n)
+		}
+		a.MaxConns = *n
+	}
 	if n := f.Runner.Connections; n != nil {
 		if *n < 1 || *n > 256 {
 			return a, fmt.Errorf("config: ajp.toml: runner.connections: %d is not within 1 to 256", *n)
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -15,7 +15,7 @@
  "extra": {"cores": 4, "gauges": ["cpu_busy"]}}}`
 
 func TestGood(t *testing.T) {
-	c, err := parse([]byte(good), []byte("[front]\nlisten = \"127.0.0.1:8009\"\n"), "", "127.0.0.2:4100")
+	c, err := parse([]byte(good), []byte("[front]\nlisten = \"127.0.0.1:8009\"\n"), nil, "", "127.0.0.2:4100")
 	require.NoError(t, err)
 	require.Equal(t, "n3", c.Name)
 	require.Equal(t, "127.0.0.2:4100", c.Listen, "the environment wins")
@@ -45,24 +45,33 @@
 		{"", "", "[front]\nlisten = \"nowhere\"", "front.listen:"},
 		{"", "", "[front]\nbody_timeout_ms = 0", "front.body_timeout_ms:"},
 		{"", "", "[front]\nmax_body_bytes = -1", "front.max_body_bytes:"},
+		{"", "", "[front]\nmax_connections = 0", "front.max_connections:"},
 		{"", "", "[front]\ncolour = 1", "front.colour: unknown"},
 		{"", "", "[runner]\naddress = \"x\"", "runner.address:"},
 		{"", "", "[runner]\nconnections = 0", "runner.connections:"},
 		{"", "", "[runner]\npath = \"run\"", "runner.path:"},
 		{"", "", "front = [", "ajp.toml:"},
 	} {
-		_, err := parse([]byte(strings.Replace(good, c.old, c.new, 1)), []byte(c.ajp), "", "")
+		_, err := parse([]byte(strings.Replace(good, c.old, c.new, 1)), []byte(c.ajp), nil, "", "")
 		require.ErrorContains(t, err, c.want)
 	}
+	for text, want := range map[string]string{
+		"driver = \"oracle\"": "driver:", "driver = \"sqlite\"": "dsn:", "path = \"x\"": "path: unknown",
+		"driver = \"postgres\"\ndsn = \"x\"\ntimeout_ms = 0": "timeout_ms:",
+	} {
+		_, err := parse([]byte(good), nil, []byte(text), "", "")
+		require.ErrorContains(t, err, "store.toml: "+want)
+	}
 	_, err := Load(func(string) string { return "" })
 	require.ErrorContains(t, err, "RELAY_CONFIG")
 }
 
-// The file that ships is off: the platform runs with it.
-func TestShippedFileIsOff(t *testing.T) {
-	env := map[string]string{"RELAY_CONFIG": "testdata/config.json", "RELAY_AJP": "../../deploy/ajp.toml"}
+// The files that ship are off: the platform runs with them.
+func TestShippedFilesAreOff(t *testing.T) {
+	env := map[string]string{"RELAY_CONFIG": "testdata/config.json", "RELAY_AJP": "../../deploy/ajp.toml", "RELAY_STORE": "../../deploy/store.toml"}
 	c, err := Load(func(k string) string { return env[k] })
 	require.NoError(t, err)
 	require.Empty(t, c.AJP.Listen)
 	require.Empty(t, c.AJP.Runner)
+	require.Empty(t, c.Store.Driver)
 }
--- a/internal/edge/ajp.go
+++ b/internal/edge/ajp.go
@@ -56,6 +56,11 @@
 
 func (s *Server) acceptAJP(c transport.Link) *ajpSession {
 	a := &ajpSession{s: s, conn: c, due: s.loop.Now() + idleMost}
+	if len(s.offices) >= s.cfg.AJP.MaxConns {
+		s.logf("ajp: %s turned away: %d connections are open", c.Remote(), len(s.offices))
+		a.phase = awaitClose
+		c.Close()
+	}
 	s.offices[a] = struct{}{}
 	return a
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -24,16 +24,23 @@
 	Now() micro.Time
 	Dial(addr string, open func(transport.Link) transport.Session)
 	Send([]byte)
+	Execute(func()) error
 	Stop()
 }
 
+// Wall converts between the wall clock, in Unix milliseconds, and the program's time.
+type Wall interface {
+	FromUnixMilli(ms int64) micro.Time
+	UnixMilli(t micro.Time) int64
+}
+
 // Server is the program on one loop.
 type Server struct {
 	cfg      config.Config
 	core     *routing.Core
 	loop     Loop
 	logf     func(string, ...any)
-	instant  func(unixMilli int64) micro.Time
+	wall     Wall
 	classes  map[string]int
 	tenants  map[string]int
 	pool     *poolLink
@@ -48,10 +55,10 @@
 	stopped               bool
 }
 
-// New builds a server; instant converts a wall clock time in milliseconds. Attach must follow.
-func New(cfg config.Config, instant func(int64) micro.Time, logf func(string, ...any)) (*Server, error) {
+// New builds a server. Attach must follow, on its loop.
+func New(cfg config.Config, wall Wall, logf func(string, ...any)) (*Server, error) {
 	s := &Server{
-		cfg: cfg, logf: logf, instant: instant, classes: map[string]int{}, tenants: map[string]int{},
+		cfg: cfg, logf: logf, wall: wall, classes: map[string]int{}, tenants: map[string]int{},
 		fronts: map[*thriftSession]struct{}{}, offices: map[*ajpSession]struct{}{}, reported: true,
 	}
 	for i, c := range cfg.Settings.Classes {
@@ -75,7 +82,7 @@
 	return s, nil
 }
 
-// Attach starts the server on its loop; it is called on it.
+// Attach starts the server on its loop; it is called there.
 func (s *Server) Attach(l Loop) {
 	s.loop = l
 	if s.pool != nil {
--- a/internal/edge/loopback_test.go
+++ b/internal/edge/loopback_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"path/filepath"
 	"sync"
 	"testing"
 	"time"
@@ -15,6 +16,7 @@
 	"pewterline/internal/micro"
 	"pewterline/internal/protocol/ajp"
 	"pewterline/internal/protocol/thrift"
+	"pewterline/internal/store"
 	"pewterline/internal/transport"
 	"pewterline/internal/wire"
 )
@@ -84,23 +86,33 @@
 	p.send("finished %d %s PASS 5 %d\r\n%s\r\n", n, id, len(result), result)
 }
 
-// serveLoopback runs a whole server on ports that the system picks.
-func serveLoopback(t *testing.T, poolAddr string) (thriftAddr, ajpAddr string) {
+// serveLoopback runs a whole server on ports that the system picks, until stop or the test's end. A file keeps
+// its intakes; "" for none.
+func serveLoopback(t *testing.T, poolAddr, file string) (thriftAddr, ajpAddr string, stop func()) {
 	set, gauges, err := wire.ParseSettings([]byte(settings), 7)
 	require.NoError(t, err)
 	clock := micro.NewClock()
 	logf := func(f string, a ...any) { t.Logf(f, a...) }
 	srv, err := New(config.Config{Name: "n0", Pool: poolAddr, Stop: micro.Second, Settings: set, Gauges: gauges,
-		AJP: config.AJP{BodyTimeout: 10 * micro.Second, MaxBody: 100}}, clock.FromUnixMilli, logf)
+		AJP: config.AJP{BodyTimeout: 10 * micro.Second, MaxBody: 100, MaxConns: 99}}, clock, logf)
 	require.NoError(t, err)
+	stored := func() {}
+	if file != "" {
+		st, err := store.Open(store.SQLite, file, "n0", time.Minute)
+		require.NoError(t, err)
+		require.NoError(t, srv.UseStore(st, clock.Now()))
+		stored = func() { require.NoError(t, st.Close()) }
+	}
 	loop, err := transport.Start(transport.Options{Listen: []string{"127.0.0.1:0", "127.0.0.2:0"}, MaxConns: 16, Clock: clock, Logf: logf},
 		srv, func(l *transport.Loop) { srv.Attach(l) })
 	require.NoError(t, err)
-	t.Cleanup(func() {
+	stop = sync.OnceFunc(func() {
 		loop.Stop()
 		require.NoError(t, loop.Wait())
+		stored()
 	})
-	return loop.Addr(0).String(), loop.Addr(1).String()
+	t.Cleanup(stop)
+	return loop.Addr(0).String(), loop.Addr(1).String(), stop
 }
 
 // peer is a client's connection; read waits for one whole message of its protocol.
@@ -109,6 +121,7 @@
 	c     net.Conn
 	buf   []byte
 	split func([]byte) ([]byte, int, error)
+	sent  int32
 }
 
 func dial(t *testing.T, addr string, split func([]byte) ([]byte, int, error)) *peer {
@@ -138,43 +151,54 @@
 	}
 }
 
+// sendIntake sends an intake by Thrift.
+func sendIntake(p *peer, once string) {
+	p.sent++
+	p.write(thrift.AppendCall(nil, p.sent, []thrift.Field{{Name: "class", Value: "lot-intake"},
+		{Name: "id", Value: fmt.Sprintf("%016x", p.sent)}, {Name: "at", Value: fmt.Sprint(time.Now().UnixMilli())},
+		{Name: "from", Value: "1"}, {Name: "tenant", Value: "lake-vines"}, {Name: "kb", Value: "20"},
+		{Name: "rank", Value: "0.9"}, {Name: "once", Value: once}}, []byte("lot")))
+}
+
+// forwardIntake sends one by AJP.
+func forwardIntake(p *peer, once string) {
+	out := ajp.AppendForward(nil, ajp.Request{Method: "POST", URI: "/lot-intake", Headers: []ajp.Header{
+		{Name: "content-length", Value: "3"}, {Name: "X-Relay-Tenant", Value: "lake-vines"}, {Name: "X-Relay-Once", Value: once}}})
+	out, _ = ajp.AppendBody(out, []byte("lot"))
+	p.write(out)
+}
+
+// readOK reads a whole AJP response that serves, and returns its body.
+func readOK(p *peer) string {
+	var parts [3]ajp.Response
+	for i := range parts {
+		var err error
+		parts[i], err = ajp.ParseResponse(p.read())
+		require.NoError(p.t, err)
+	}
+	require.Equal(p.t, 200, parts[0].Status)
+	require.True(p.t, parts[2].Reuse)
+	return string(parts[1].Chunk)
+}
+
+func splitContainer(in []byte) ([]byte, int, error) { return ajp.Split(in, ajp.FromContainer) }
+
 // The whole program on real sockets: an intake that comes by both protocols runs once, whichever is first, and
 // whether the first is still running; a broken connection harms no other.
 func TestLoopbackOnce(t *testing.T) {
 	pool := newSocketPool(t)
-	thriftAddr, ajpAddr := serveLoopback(t, pool.ln.Addr().String())
+	thriftAddr, ajpAddr, _ := serveLoopback(t, pool.ln.Addr().String(), "")
 	desk := dial(t, thriftAddr, thrift.Split)
-	office := dial(t, ajpAddr, func(in []byte) ([]byte, int, error) { return ajp.Split(in, ajp.FromContainer) })
+	office := dial(t, ajpAddr, splitContainer)
 	broken := dial(t, thriftAddr, thrift.Split)
 	broken.write([]byte("GET / HTTP/1.1\r\n\r\n"))
 	_, err := broken.c.Read(make([]byte, 1))
 	require.ErrorIs(t, err, io.EOF)
 
-	n := 0
-	viaThrift := func(once string) {
-		n++
-		desk.write(thrift.AppendCall(nil, int32(n), []thrift.Field{{Name: "class", Value: "lot-intake"},
-			{Name: "id", Value: fmt.Sprintf("%016x", n)}, {Name: "at", Value: fmt.Sprint(time.Now().UnixMilli())}, {Name: "from", Value: "1"},
-			{Name: "tenant", Value: "lake-vines"}, {Name: "kb", Value: "20"}, {Name: "rank", Value: "0.9"}, {Name: "once", Value: once}}, []byte("lot")))
-	}
-	viaAJP := func(once string) {
-		out := ajp.AppendForward(nil, ajp.Request{Method: "POST", URI: "/lot-intake", Headers: []ajp.Header{{Name: "content-length", Value: "3"},
-			{Name: "X-Relay-Tenant", Value: "lake-vines"}, {Name: "X-Relay-Once", Value: once}}})
-		out, _ = ajp.AppendBody(out, []byte("lot"))
-		office.write(out)
-	}
+	viaThrift := func(once string) { sendIntake(desk, once) }
+	viaAJP := func(once string) { forwardIntake(office, once) }
 	gotThrift := func(result string) { require.Contains(t, string(desk.read()), result) }
-	gotAJP := func(result string) {
-		head, err := ajp.ParseResponse(office.read())
-		require.NoError(t, err)
-		require.Equal(t, 200, head.Status)
-		body, err := ajp.ParseResponse(office.read())
-		require.NoError(t, err)
-		require.Equal(t, result, string(body.Chunk))
-		end, err := ajp.ParseResponse(office.read())
-		require.NoError(t, err)
-		require.True(t, end.Reuse)
-	}
+	gotAJP := func(result string) { require.Equal(t, result, readOK(office)) }
 
 	viaThrift("k1")
 	pool.finish(<-pool.started, "first")
@@ -208,3 +232,25 @@
 
 	require.Empty(t, pool.started, "an intake ran twice")
 }
+
+// With a store of record, a repeat after a restart gets the recorded result and does not run, whatever the
+// protocol of either try.
+func TestLoopbackRestart(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "intakes.db")
+	pool := newSocketPool(t)
+	thriftAddr, _, stop := serveLoopback(t, pool.ln.Addr().String(), file)
+	desk := dial(t, thriftAddr, thrift.Split)
+	sendIntake(desk, "k1")
+	pool.finish(<-pool.started, "weighed")
+	require.Contains(t, string(desk.read()), "weighed")
+	stop()
+
+	thriftAddr, ajpAddr, _ := serveLoopback(t, pool.ln.Addr().String(), file)
+	office := dial(t, ajpAddr, splitContainer)
+	forwardIntake(office, "k1")
+	require.Equal(t, "weighed", readOK(office))
+	desk = dial(t, thriftAddr, thrift.Split)
+	sendIntake(desk, "k1")
+	require.Contains(t, string(desk.read()), "weighed")
+	require.Empty(t, pool.started)
+}
--- a/internal/edge/overload_test.go
+++ b/internal/edge/overload_test.go
@@ -104,7 +104,7 @@
 
 // overload plays a minute and a half; it returns how many answers each protocol got, by status.
 func overload(t *testing.T, exchanged bool) map[string]map[int]int {
-	s := newStage(t, config.AJP{BodyTimeout: micro.Second, MaxBody: 100, Connections: 2})
+	s := newStage(t, config.AJP{BodyTimeout: micro.Second, MaxBody: 100, MaxConns: 99, Connections: 2})
 	p := &standIn{s: s, cores: 2, work: 200 * micro.Millisecond, ends: map[string]micro.Time{}, runs: map[string]int{}}
 	p.link = s.connect("pool", -1)
 	p.read()
--- a/internal/edge/play_test.go
+++ b/internal/edge/play_test.go
@@ -65,6 +65,16 @@
 func (l *fakeLink) Resume()        { l.resume = true }
 func (l *fakeLink) Remote() string { return l.name }
 
+// unixZero is a wall clock whose time is the stage's.
+type unixZero struct{}
+
+func (unixZero) FromUnixMilli(ms int64) micro.Time { return micro.Time(ms) * micro.Millisecond }
+func (unixZero) UnixMilli(t micro.Time) int64      { return int64(t / micro.Millisecond) }
+
+func (s *stage) Execute(f func()) error {
+	f()
+	return nil
+}
 func (s *stage) Now() micro.Time { return s.now }
 func (s *stage) Stop()           { s.stopped = true }
 func (s *stage) Send(p []byte) {
@@ -81,8 +91,7 @@
 	require.NoError(t, err)
 	cfg := config.Config{Name: "n0", Pool: "pool", Stop: 3200 * micro.Millisecond, Settings: set, Gauges: gauges, AJP: ajp}
 	s := &stage{t: t, now: micro.Second, links: map[string]*fakeLink{}}
-	instant := func(ms int64) micro.Time { return micro.Time(ms) * micro.Millisecond }
-	s.srv, err = New(cfg, instant, func(f string, a ...any) { s.logged = append(s.logged, fmt.Sprintf(f, a...)) })
+	s.srv, err = New(cfg, unixZero{}, func(f string, a ...any) { s.logged = append(s.logged, fmt.Sprintf(f, a...)) })
 	require.NoError(t, err)
 	s.srv.Attach(s)
 	return s
@@ -205,7 +214,7 @@
 			require.NoError(t, err)
 			var ajp config.AJP
 			if strings.Contains(file, "ajp") {
-				ajp = config.AJP{Secret: "vine", BodyTimeout: 500 * micro.Millisecond, MaxBody: 100, Connections: 2, RunnerPath: "/run"}
+				ajp = config.AJP{Secret: "vine", BodyTimeout: 500 * micro.Millisecond, MaxBody: 100, MaxConns: 99, Connections: 2, RunnerPath: "/run"}
 			}
 			if strings.Contains(file, "runner") {
 				ajp.Runner = "backend"
--- /dev/null
+++ b/internal/edge/record.go
@@ -0,0 +1,52 @@
+package edge
+
+import (
+	"fmt"
+
+	"pewterline/internal/micro"
+	"pewterline/internal/routing"
+	"pewterline/internal/store"
+)
+
+// UseStore takes up what an earlier life of this server has recorded, and records from then on. It comes before
+// Attach, and may wait for the database.
+func (s *Server) UseStore(st *store.Store, now micro.Time) error {
+	window := micro.Time(0)
+	for _, c := range s.cfg.Settings.Classes {
+		window = max(window, micro.Of(c.Window))
+	}
+	records, err := st.Load(s.wall.UnixMilli(now - window))
+	if err != nil {
+		return fmt.Errorf("edge: %w", err)
+	}
+	for _, r := range records {
+		class, known := s.classes[r.Class]
+		if !known {
+			continue // of settings that have changed since
+		}
+		s.core.Restore(routing.Intake{Class: class, Tenant: s.tenants[r.Tenant], Once: r.Once,
+			At: s.wall.FromUnixMilli(r.AtMilli), Result: r.Result})
+	}
+	s.core.UseRecorder(&recorder{s, st})
+	s.logf("edge: %d intakes restored", len(records))
+	return nil
+}
+
+// recorder is the core's way to the store, which works off the loop.
+type recorder struct {
+	s  *Server
+	st *store.Store
+}
+
+// Record is part of routing.Recorder.
+func (r *recorder) Record(in routing.Intake, done func(error)) {
+	rec := store.Record{Class: r.s.cfg.Settings.Classes[in.Class].Name, Once: in.Once,
+		AtMilli: r.s.wall.UnixMilli(in.At), Result: in.Result}
+	if in.Tenant < len(r.s.cfg.Settings.Tenants) {
+		rec.Tenant = r.s.cfg.Settings.Tenants[in.Tenant].Name
+	}
+	r.st.Record(rec, func(err error) {
+		// Once the loop has ended there is nobody left to answer.
+		_ = r.s.loop.Execute(func() { done(err) })
+	})
+}
--- a/internal/edge/thrift.go
+++ b/internal/edge/thrift.go
@@ -144,7 +144,7 @@
 	if err != nil {
 		return r, fmt.Errorf("at: %q is not a time in milliseconds", get("at"))
 	}
-	r.At = min(s.instant(at), s.loop.Now())
+	r.At = min(s.wall.FromUnixMilli(at), s.loop.Now())
 	from, err := strconv.ParseUint(get("from"), 10, 32)
 	if err != nil {
 		return r, fmt.Errorf("from: %q is not a number", get("from"))
--- a/internal/micro/micro.go
+++ b/internal/micro/micro.go
@@ -37,3 +37,9 @@
 	now := time.Now()
 	return Of(now.Sub(c.origin)) - Time(now.UnixMicro()-ms*1000)
 }
+
+// UnixMilli is the wall clock time of an instant, in Unix milliseconds.
+func (c Clock) UnixMilli(t Time) int64 {
+	now := time.Now()
+	return now.UnixMilli() - int64((Of(now.Sub(c.origin))-t)/Millisecond)
+}
--- a/internal/routing/keys.go
+++ b/internal/routing/keys.go
@@ -24,10 +24,15 @@
 
 	ran     bool
 	runner  control.ID // the try that ran
+	at      micro.Time // when that try came
 	over    bool       // that run has ended, in end with result
 	end     End
 	result  []byte
 	waiters []*request
+
+	unsaved  bool // the run has ended, but its result is not on record
+	saving   bool // it is on its way there
+	restored bool // from the store of record: an earlier life ran it
 }
 
 // claim marks the key as run by r, unless another try has run.
@@ -35,7 +40,7 @@
 	if e.ran && e.runner != r.id {
 		return false
 	}
-	e.ran, e.runner = true, r.id
+	e.ran, e.runner, e.at = true, r.id, r.At
 	return true
 }
 
@@ -121,7 +126,7 @@
 	}
 	t.swept = now
 	for _, e := range t.byName {
-		if now > e.expires+lateRead && (e.over || !e.ran) {
+		if now > e.expires+lateRead && (e.over || !e.ran || e.unsaved) && !e.saving {
 			t.remove(e)
 		}
 	}
--- /dev/null
+++ b/internal/routing/record_test.go
@@ -0,0 +1,121 @@
+package routing
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"pewterline/control"
+	"pewterline/internal/micro"
+)
+
+// bench is a core with a runner and a recorder that the test plays.
+type bench struct {
+	t        *testing.T
+	core     *Core
+	now      micro.Time
+	started  []string
+	recorded []Intake
+	done     []func(error)
+	n        int
+}
+
+func (b *bench) Start(r Run) { b.started = append(b.started, r.ID) }
+func (b *bench) Stop(string) {}
+func (b *bench) Poll()       {}
+func (b *bench) Record(in Intake, f func(error)) {
+	b.recorded, b.done = append(b.recorded, in), append(b.done, f)
+}
+
+func newBench(t *testing.T) *bench {
+	b := &bench{t: t, now: 100 * micro.Second}
+	var err error
+	b.core, err = New(control.Settings{Cores: 2, Classes: []control.Class{
+		{Name: "view", Aim: time.Second, Deadline: 4 * time.Second, Worth: 1},
+		{Name: "intake", Aim: time.Second, Deadline: 4 * time.Second, Worth: 10, Effect: control.Keyed, Window: 13 * time.Second},
+	}}, b, t.Logf)
+	require.NoError(t, err)
+	return b
+}
+
+type reply struct{ got []Answer }
+
+func (r *reply) Reply(a Answer) { r.got = append(r.got, a) }
+
+// try sends one try of an intake and ends the turn.
+func (b *bench) try(once string) (*reply, string) {
+	b.n++
+	r, id := &reply{}, string(rune('a'+b.n))
+	_, err := b.core.Submit(b.now, Request{RunID: id, Class: 1, Once: once, At: b.now, HeldKB: 1, Reply: r})
+	require.NoError(b.t, err)
+	b.step()
+	return r, id
+}
+
+func (b *bench) step() {
+	for range 3 {
+		b.core.Step(b.now)
+	}
+}
+
+// Guards the promise of the store of record: no answer before the result is durable; and when it cannot be
+// recorded, no answer as if it were, and no second run.
+func TestRecordBeforeAnswer(t *testing.T) {
+	b := newBench(t)
+	b.core.UseRecorder(b)
+	first, id := b.try("k1")
+	b.core.Finished(id, Passed, []byte("lot"))
+	b.step()
+	require.Empty(t, first.got, "answered before it is on record")
+	require.Equal(t, []Intake{{Class: 1, Once: "k1", At: b.now, Result: []byte("lot")}}, b.recorded)
+	waiting, _ := b.try("k1")
+	b.done[0](errors.New("disk full"))
+	b.step()
+	require.Equal(t, Failed, first.got[0].Status)
+	require.Equal(t, Failed, waiting.got[0].Status)
+
+	again, _ := b.try("k1")
+	require.Len(t, b.recorded, 2, "a repeat tries again to record")
+	b.done[1](nil)
+	b.step()
+	require.Equal(t, []Answer{{Status: Served, Result: []byte("lot")}}, again.got)
+	later, _ := b.try("k1")
+	require.Equal(t, Served, later.got[0].Status)
+	require.Len(t, b.recorded, 2)
+	require.Len(t, b.started, 1, "it ran once")
+	require.Zero(t, b.core.Open())
+}
+
+// After a restart a repeat gets the recorded result, without a run; past its window the key is new.
+func TestRestore(t *testing.T) {
+	b := newBench(t)
+	b.core.Restore(Intake{Class: 1, Once: "k1", At: b.now - 5*micro.Second, Result: []byte("lot")})
+	b.core.Restore(Intake{Class: 1, Once: "k2", At: b.now - 14*micro.Second, Result: []byte("old")})
+	repeat, _ := b.try("k1")
+	require.Equal(t, []Answer{{Status: Served, Result: []byte("lot")}}, repeat.got)
+	require.Empty(t, b.started)
+	fresh, id := b.try("k2")
+	b.core.Finished(id, Passed, []byte("new"))
+	require.Equal(t, []byte("new"), fresh.got[0].Result)
+	require.Zero(t, b.core.Open())
+}
+
+// Guards the once-only rule where the pool says that a try never started and its repeat runs in its place: the
+// window then counts from the repeat.
+func TestWindowCountsFromTheTryThatRan(t *testing.T) {
+	b := newBench(t)
+	_, one := b.try("k1")
+	b.now += 3 * micro.Second
+	second, two := b.try("k1")
+	b.core.Finished(one, Unneeded, nil)
+	require.Equal(t, []string{one, two}, b.started)
+	b.core.Finished(two, Passed, []byte("lot"))
+	b.step()
+	require.Equal(t, Served, second.got[0].Status)
+	b.now += 12 * micro.Second // 15 s after the first try, 12 s after the one that ran
+	late, _ := b.try("k1")
+	require.Equal(t, Served, late.got[0].Status)
+	require.Len(t, b.started, 2)
+}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -93,6 +93,7 @@
 	id       control.ID
 	state    state
 	answered bool // its caller has the answer, or has left
+	saving   bool // its run has ended, and the result is on its way to the store of record
 	key      *onceEntry
 }
 
@@ -101,6 +102,7 @@
 	settings control.Settings
 	ctl      *control.Controller
 	runner   Runner
+	recorder Recorder // nil: results are kept in memory only
 	logf     func(format string, args ...any)
 	begun    bool
 	now      micro.Time
@@ -111,6 +113,7 @@
 	keys    keyTable
 	open    int // requests that are owed an answer
 	events  []control.Event
+	ready   []*request // repeats of restored intakes, to be answered in the next step
 	wakes   []wake
 	gauges  control.Gauges
 	drained bool
@@ -211,6 +214,11 @@
 	}
 	c.live[q.id], c.runs[r.RunID] = q, q
 	c.open++
+	if q.key != nil && q.key.restored { // the module has not seen the run of an earlier life
+		q.state = joined
+		c.ready = append(c.ready, q)
+		return q.id, nil
+	}
 	c.events = append(c.events, e)
 	return q.id, nil
 }
@@ -240,7 +248,7 @@
 
 // NextDue is when Step has something to do, whatever arrives before that.
 func (c *Core) NextDue() micro.Time {
-	if len(c.events) > 0 {
+	if len(c.events)+len(c.ready) > 0 {
 		return c.now
 	}
 	due := micro.Never
@@ -256,6 +264,11 @@
 	if !c.begun {
 		return
 	}
+	for _, r := range c.ready {
+		c.answer(r, Answer{Status: Served, Result: r.key.result})
+		c.forget(r)
+	}
+	c.ready = nil
 	ticked := false
 	c.wakes = slices.DeleteFunc(c.wakes, func(w wake) bool {
 		if w.at > now {
@@ -368,33 +381,46 @@
 		c.finish(r, r.key.end, r.key.result)
 	default:
 		r.key.waiters = append(r.key.waiters, r)
+		if r.key.unsaved && !r.key.saving {
+			c.save(r.key, nil)
+		}
 	}
 }
 
 // Finished tells how the run of id ended. The core keeps result.
 func (c *Core) Finished(id string, end End, result []byte) {
 	r := c.runs[id]
-	if r == nil || r.state != running {
+	if r == nil || r.state != running || r.saving {
 		return
 	}
-	if k := r.key; k != nil && k.runner == r.id {
-		if end == Unneeded || end == Rejected {
-			if c.passOn(r, end) {
-				return
-			}
+	k := r.key
+	switch {
+	case k == nil || k.runner != r.id:
+		c.finish(r, end, result)
+	case end == Unneeded || end == Rejected:
+		if !c.passOn(r, end) {
 			c.keys.unrun(k) // nothing ran: a later try may
-		} else {
-			k.over, k.end, k.result = true, end, result
+			c.conclude(k, r, end, nil)
 		}
-		waiters := k.waiters
-		k.waiters = nil
-		defer func() {
-			for _, w := range waiters {
-				c.finish(w, end, result)
-			}
-		}()
+	case end == Passed && c.recorder != nil:
+		k.result, k.unsaved, r.saving = result, true, true
+		c.save(k, r)
+	default:
+		k.over, k.end, k.result = true, end, result
+		c.conclude(k, r, end, result)
+	}
+}
+
+// conclude ends the run of a key, and the waits for it. r is nil where the run itself has ended before.
+func (c *Core) conclude(k *onceEntry, r *request, end End, result []byte) {
+	waiters := k.waiters
+	k.waiters = nil
+	if r != nil {
+		c.finish(r, end, result)
+	}
+	for _, w := range waiters {
+		c.finish(w, end, result)
 	}
-	c.finish(r, end, result)
 }
 
 // passOn lets a waiting try run in the place of one whose caller had left before it started: nothing has run,
@@ -404,6 +430,7 @@
 		return false
 	}
 	w := r.key.waiters[0]
+	r.key.expires += max(w.At-r.At, 0) // the window counts from the try that runs
 	c.answer(r, Answer{Status: Failed, Reason: "the run was not started"})
 	delete(c.runs, r.RunID)
 	r.RunID, r.Body = w.RunID, w.Body
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -58,10 +58,11 @@
 
 // Options say what a Loop serves.
 type Options struct {
-	Listen   []string // addresses, in the order of Handler.Accept's index
-	MaxConns int      // accepted connections beyond this are closed at once
-	Clock    micro.Clock
-	Logf     func(format string, args ...any)
+	Listen    []string // addresses, in the order of Handler.Accept's index
+	Datagrams string   // the peer of Send; empty: none
+	MaxConns  int      // accepted connections beyond this are closed at once
+	Clock     micro.Clock
+	Logf      func(format string, args ...any)
 }
 
 // Loop is the event loop.
@@ -79,7 +80,7 @@
 	armed   micro.Time
 	addrs   []*net.TCPAddr
 	conns   int
-	udp     *net.UDPConn
+	udp     net.Conn
 	ended   atomic.Bool
 	up      chan struct{}
 	done    chan error
@@ -103,6 +104,13 @@
 	l := &Loop{opts: opts, handler: h, begin: begin, armed: micro.Never, up: make(chan struct{}), done: make(chan error, 1)}
 	l.timer = time.AfterFunc(time.Hour, l.wake)
 	l.timer.Stop()
+	if opts.Datagrams != "" {
+		c, err := net.Dial("udp", opts.Datagrams)
+		if err != nil {
+			return nil, fmt.Errorf("transport: datagrams: %w", err)
+		}
+		l.udp = c
+	}
 	addrs := make([]string, len(opts.Listen))
 	for i, a := range opts.Listen {
 		addrs[i] = "tcp://" + a
@@ -374,6 +382,12 @@
 		return
 	}
 	c.mark()
+	// Guards the memory within a turn, as flush does over turns: a peer may ask for a lot at once.
+	if len(c.out)+len(p) > maxUnsent {
+		c.loop.opts.Logf("transport: %s closed: over %d bytes are unsent", c.Remote(), maxUnsent)
+		c.out, c.closing = c.out[:0], true
+		return
+	}
 	c.out = append(c.out, p...)
 }
 
@@ -468,16 +482,6 @@
 // Closed is part of Session.
 func (k *dialled) Closed() {}
 
-// Datagrams sets the peer of Send.
-func (l *Loop) Datagrams(addr string) error {
-	c, err := net.Dial("udp", addr)
-	if err != nil {
-		return fmt.Errorf("transport: %w", err)
-	}
-	l.udp = c.(*net.UDPConn)
-	return nil
-}
-
 // Send sends one datagram; it may be lost, as any may.
 func (l *Loop) Send(p []byte) {
 	if l.udp != nil {
--- /dev/null
+++ b/internal/transport/transport_test.go
@@ -0,0 +1,132 @@
+package transport
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"pewterline/internal/micro"
+)
+
+// echo answers each byte by as many as it has; its sessions report their end.
+type echo struct {
+	answer []byte
+	closed chan string
+	dials  chan *echoSession
+}
+
+type echoSession struct {
+	e    *echo
+	link Link
+}
+
+func (e *echo) Accept(_ int, l Link) Session { return &echoSession{e, l} }
+func (e *echo) Turn(micro.Time) micro.Time   { return micro.Never }
+func (s *echoSession) Closed()               { s.e.closed <- s.link.Remote() }
+func (s *echoSession) Receive(in []byte) (int, error) {
+	for range in {
+		s.link.Write(s.e.answer)
+	}
+	return len(in), nil
+}
+
+func start(t *testing.T, e *echo, most int) *Loop {
+	e.closed, e.dials = make(chan string, 100), make(chan *echoSession, 100)
+	l, err := Start(Options{Listen: []string{"127.0.0.1:0"}, MaxConns: most, Clock: micro.NewClock(), Logf: t.Logf}, e, func(*Loop) {})
+	require.NoError(t, err)
+	t.Cleanup(func() {
+		l.Stop()
+		require.NoError(t, l.Wait())
+	})
+	return l
+}
+
+func connect(t *testing.T, l *Loop) net.Conn {
+	c, err := net.Dial("tcp", l.Addr(0).String())
+	require.NoError(t, err)
+	t.Cleanup(func() { c.Close() })
+	return c
+}
+
+func works(t *testing.T, c net.Conn, want []byte) {
+	_, err := c.Write([]byte("x"))
+	require.NoError(t, err)
+	got := make([]byte, len(want))
+	_, err = io.ReadFull(c, got)
+	require.NoError(t, err)
+	require.Equal(t, want, got)
+}
+
+// Guards the memory: a peer that asks and never reads is cut off, and harms no other.
+func TestSlowReaderIsCut(t *testing.T) {
+	e := &echo{answer: bytes.Repeat([]byte("r"), 32<<10)}
+	l := start(t, e, 10)
+	slow, other := connect(t, l), connect(t, l)
+	for cut := false; !cut; {
+		_, _ = slow.Write([]byte("x")) // fails once it is cut
+		select {
+		case who := <-e.closed:
+			require.Equal(t, slow.LocalAddr().String(), who)
+			cut = true
+		default:
+		}
+	}
+	works(t, other, e.answer)
+}
+
+// Guards the descriptors: a connection too many is closed at once, and the others go on. gnet would stop
+// listening for good if the system had to refuse it one.
+func TestConnectionsAreBounded(t *testing.T) {
+	e := &echo{answer: []byte("r")}
+	l := start(t, e, 2)
+	one, two := connect(t, l), connect(t, l)
+	works(t, one, e.answer)
+	works(t, two, e.answer)
+	_, err := connect(t, l).Read(make([]byte, 1))
+	require.ErrorIs(t, err, io.EOF)
+	works(t, one, e.answer)
+	one.Close()
+	<-e.closed
+	works(t, connect(t, l), e.answer)
+}
+
+// A link that is refused is dialled again until its peer listens.
+func TestDialUntilItOpens(t *testing.T) {
+	e := &echo{answer: []byte("r")}
+	l := start(t, e, 2)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	addr := ln.Addr().String()
+	require.NoError(t, ln.Close())
+	require.NoError(t, l.Execute(func() {
+		l.Dial(addr, func(k Link) Session {
+			s := &echoSession{e, k}
+			e.dials <- s
+			return s
+		})
+	}))
+	ln, err = net.Listen("tcp", addr)
+	require.NoError(t, err)
+	defer ln.Close()
+	c, err := ln.Accept()
+	require.NoError(t, err)
+	<-e.dials
+	works(t, c, e.answer)
+	require.NoError(t, c.Close())
+	<-e.closed
+}
+
+// What a session leaves in its buffer stays there, compacted, until it is whole.
+func TestCompact(t *testing.T) {
+	c := &Conn{buf: []byte("abcdef")}
+	c.compact(2)
+	require.Equal(t, "cdef", string(c.buf))
+	c.compact(4)
+	require.Empty(t, c.buf)
+	c.buf = make([]byte, keepBuffer+1)
+	c.compact(len(c.buf))
+	require.Nil(t, c.buf)
+}
