Ask for the end of the missed notices only after the pool is bound

Ruled out: the machine being slow (its pace rose although nothing ran) and lost notices (a fresh start has none).

Cause: poolLink.opened (pool.go) sent the marking poll together with bind. A pool that is not up yet answers it with unknown, the marker never came, and every run of that life stayed unsent until the caller's due time.

--- a/internal/edge/overload_test.go
+++ b/internal/edge/overload_test.go
@@ -31,19 +31,18 @@
 }
 
 func (p *standIn) read() {
-	in := p.link.out
 	for {
-		line, rest, ok := bytes.Cut(in, []byte("\r\n"))
+		line, in, ok := bytes.Cut(p.link.out, []byte("\r\n"))
 		if !ok {
 			break
 		}
-		in = rest
+		p.link.out = in
 		switch w := bytes.Fields(line); string(w[0]) {
 		case "spawn":
 			n, _ := strconv.Atoi(string(w[3]))
 			p.runs[string(in[:n])]++
 			p.queue = append(p.queue, string(w[1]))
-			in = in[n+2:]
+			p.link.out = in[n+2:]
 		case "suspend":
 			id := string(w[1])
 			if _, ok := p.ends[id]; ok {
@@ -57,7 +56,6 @@
 			p.s.deliver(p.link, []byte("bound LOADED 0\r\n"))
 		}
 	}
-	p.link.out = append(p.link.out[:0], in...)
 	for len(p.queue) > 0 && len(p.ends) < p.cores {
 		p.ends[p.queue[0]] = p.s.now + p.work
 		p.queue = p.queue[1:]
--- a/internal/edge/pool.go
+++ b/internal/edge/pool.go
@@ -40,7 +40,6 @@
 	p.conn, p.synced = c, false
 	p.links++
 	p.write(pool.AppendBind(p.out[:0], p.notice))
-	p.write(pool.AppendPoll(p.out[:0], p.syncTag()))
 	return p
 }
 
@@ -120,6 +119,9 @@
 	switch m.Kind {
 	case pool.Bound:
 		p.s.core.Begin(p.s.loop.Now(), micro.Time(m.MS*1000), !m.Loaded)
+		// Only now: a pool that is not up yet does not carry out what follows bind, and this poll marks the end
+		// of the missed notices.
+		p.write(pool.AppendPoll(p.out[:0], p.syncTag()))
 	case pool.Finished:
 		if m.Notice <= p.notice {
 			return // read already on the link before
@@ -136,6 +138,9 @@
 		p.s.core.SetGauges(wire.ReadGauges(p.s.cfg.Gauges, m.Gauges))
 	case pool.Unknown:
 		p.s.logf("pool: %s %s was not carried out", m.Command, m.ID)
+		if m.Command == "poll" && m.ID == p.syncTag() && !p.synced {
+			p.resync() // a pool that has no gauges to tell marks the end of the missed notices as well
+		}
 		if r := p.runs[m.ID]; r != nil && m.Command == "spawn" {
 			delete(p.runs, m.ID)
 			p.s.core.Finished(m.ID, routing.Rejected, nil)
