Mix both protocols under overload on loopback sockets and a clock of the test

One run in a dozen had differed before: the stand-in pool wrote its notices one by one, and the program read them in one turn or in two.

--- a/internal/edge/ajp.go
+++ b/internal/edge/ajp.go
@@ -205,7 +205,7 @@
 	r, err := a.request()
 	if err == nil {
 		a.phase = awaitAnswer
-		if a.id, err = a.s.core.Submit(a.s.loop.Now(), r); err == nil {
+		if a.id, err = a.s.submit(r); err == nil {
 			a.body = nil // the core has it
 			return
 		}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 
+	"pewterline/control"
 	"pewterline/internal/config"
 	"pewterline/internal/micro"
 	"pewterline/internal/protocol/lease"
@@ -47,6 +48,7 @@
 	backends *ajpRunner
 	fronts   map[*thriftSession]struct{}
 	offices  map[*ajpSession]struct{}
+	requests int // taken by the core so far
 
 	nextReport, nextSweep micro.Time
 	reported              bool // the health last reported
@@ -147,12 +149,21 @@
 	}
 }
 
+// submit hands a request to the core.
+func (s *Server) submit(r routing.Request) (control.ID, error) {
+	id, err := s.core.Submit(s.loop.Now(), r)
+	if err == nil {
+		s.requests++
+	}
+	return id, err
+}
+
 // Drain is the notice to leave.
 func (s *Server) Drain(now micro.Time) {
 	if s.draining {
 		return
 	}
-	s.draining, s.drainAt, s.stopAt = true, now, now+s.cfg.Stop-stopLead
+	s.draining, s.drainAt, s.stopAt = true, now, now+s.cfg.Stop-min(stopLead, s.cfg.Stop/4)
 	s.core.Drain(now, s.stopAt)
 	s.logf("edge: draining, to stop within %v", (s.stopAt - now).Duration())
 }
@@ -173,7 +184,7 @@
 	done := s.farewell && s.core.Drained() && len(s.fronts)+len(s.offices) == 0
 	if (done || now >= s.stopAt) && !s.stopped {
 		s.stopped = true
-		s.logf("edge: drained, %d requests open", s.core.Open())
+		s.logf("edge: drained after %d requests, %d are open", s.requests, s.core.Open())
 		s.loop.Stop()
 	}
 	if s.stopped {
--- a/internal/edge/loopback_test.go
+++ b/internal/edge/loopback_test.go
@@ -137,16 +137,26 @@
 }
 
 func (p *peer) read() []byte {
+	payload, err := p.next()
+	require.NoError(p.t, err)
+	return payload
+}
+
+func (p *peer) next() ([]byte, error) {
 	for {
 		payload, n, err := p.split(p.buf)
-		require.NoError(p.t, err)
+		if err != nil {
+			return nil, err
+		}
 		if payload != nil {
 			p.buf = p.buf[n:]
-			return payload
+			return payload, nil
 		}
 		more := make([]byte, 4096)
 		k, err := p.c.Read(more)
-		require.NoError(p.t, err)
+		if err != nil {
+			return nil, err
+		}
 		p.buf = append(p.buf, more[:k]...)
 	}
 }
--- a/internal/edge/overload_test.go
+++ b/internal/edge/overload_test.go
@@ -1,13 +1,17 @@
 package edge
 
 import (
-	"bytes"
+	"bufio"
 	"encoding/binary"
 	"fmt"
+	"io"
 	"maps"
 	"math/rand/v2"
+	"net"
+	"runtime"
 	"slices"
 	"strconv"
+	"sync/atomic"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -15,188 +19,282 @@
 	"pewterline/internal/config"
 	"pewterline/internal/micro"
 	"pewterline/internal/protocol/ajp"
+	"pewterline/internal/protocol/pool"
 	"pewterline/internal/protocol/thrift"
+	"pewterline/internal/transport"
+	"pewterline/internal/wire"
 )
 
-// standIn is a worker pool of the test's own: each run takes the same time on one of its cores.
-type standIn struct {
-	s     *stage
-	link  *fakeLink
-	cores int
-	work  micro.Time
-	queue []string
-	ends  map[string]micro.Time
-	runs  map[string]int // by body: how often each request was run
-	n     int
+// manualClock stands still until the test moves it; its Unix time is its own.
+type manualClock struct{ now atomic.Int64 }
+
+func (c *manualClock) Now() micro.Time                   { return micro.Time(c.now.Load()) }
+func (c *manualClock) FromUnixMilli(ms int64) micro.Time { return micro.Time(ms) * micro.Millisecond }
+func (c *manualClock) UnixMilli(t micro.Time) int64      { return int64(t / micro.Millisecond) }
+
+// crowd is the whole program on loopback sockets and a clock of the test's, with stand-ins for its peers. Every
+// step waits for what it has sent to be taken, so that a run is the same each time, however fast the machine.
+type crowd struct {
+	t       *testing.T
+	clock   manualClock
+	srv     *Server
+	loop    *transport.Loop
+	pool    net.Conn
+	poolIn  *bufio.Reader
+	queue   []string              // at the pool, waiting for a core
+	ends    map[string]micro.Time // running there
+	runs    map[string]int        // by body: how often each request was run
+	notices uint64
+	out     []byte // notices of this step
+	marks   int
+	asked   int
+	desk    *peer
+	idle    chan *peer // AJP connections without a request
+	answers chan answered
 }
 
-func (p *standIn) read() {
-	for {
-		line, in, ok := bytes.Cut(p.link.out, []byte("\r\n"))
-		if !ok {
-			break
-		}
-		p.link.out = in
-		switch w := bytes.Fields(line); string(w[0]) {
-		case "spawn":
-			n, _ := strconv.Atoi(string(w[3]))
-			p.runs[string(in[:n])]++
-			p.queue = append(p.queue, string(w[1]))
-			p.link.out = in[n+2:]
-		case "suspend":
-			id := string(w[1])
-			if _, ok := p.ends[id]; ok {
-				delete(p.ends, id)
-				p.finish(id, "KILLED")
-			}
-		case "poll":
-			busy := float64(len(p.ends)) / float64(p.cores)
-			p.s.deliver(p.link, fmt.Appendf(nil, "polled %s %.2f %d 0.1 4\r\n", w[1], busy, len(p.ends)+len(p.queue)))
-		case "bind":
-			p.s.deliver(p.link, []byte("bound LOADED 0\r\n"))
-		}
-	}
-	for len(p.queue) > 0 && len(p.ends) < p.cores {
-		p.ends[p.queue[0]] = p.s.now + p.work
-		p.queue = p.queue[1:]
+// answered is one answer that a client got.
+type answered struct {
+	front  string
+	id     int
+	status int
+}
+
+const (
+	poolCores = 2
+	poolWork  = 200 * micro.Millisecond
+)
+
+func newCrowd(t *testing.T) *crowd {
+	set, gauges, err := wire.ParseSettings([]byte(settings), 7)
+	require.NoError(t, err)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer ln.Close()
+	c := &crowd{t: t, ends: map[string]micro.Time{}, runs: map[string]int{}, idle: make(chan *peer, 1000), answers: make(chan answered, 10000)}
+	c.clock.now.Store(int64(micro.Second))
+	logf := func(string, ...any) {}
+	c.srv, err = New(config.Config{Name: "n0", Pool: ln.Addr().String(), Stop: micro.Second, Settings: set, Gauges: gauges,
+		AJP: config.AJP{BodyTimeout: 10 * micro.Second, MaxBody: 100, MaxConns: 900}}, &c.clock, logf)
+	require.NoError(t, err)
+	c.loop, err = transport.Start(transport.Options{Listen: []string{"127.0.0.1:0", "127.0.0.2:0"}, MaxConns: 950, Clock: &c.clock, Logf: logf},
+		c.srv, func(l *transport.Loop) { c.srv.Attach(l) })
+	require.NoError(t, err)
+	t.Cleanup(func() {
+		c.loop.Stop()
+		require.NoError(t, c.loop.Wait())
+	})
+	c.pool, err = ln.Accept()
+	require.NoError(t, err)
+	t.Cleanup(func() { c.pool.Close() })
+	c.poolIn = bufio.NewReader(c.pool)
+	c.command() // bind
+	c.await(func() bool { return c.srv.pool.synced || c.poolMark() })
+	c.desk = dial(t, c.loop.Addr(0).String(), thrift.Split)
+	go c.readDesk()
+	return c
+}
+
+// onLoop runs f in a turn of the loop and waits for it.
+func (c *crowd) onLoop(f func()) {
+	done := make(chan struct{})
+	require.NoError(c.t, c.loop.Execute(func() {
+		f()
+		close(done)
+	}))
+	<-done
+}
+
+// await returns when a condition holds on the loop.
+func (c *crowd) await(holds func() bool) {
+	for ok := false; !ok; runtime.Gosched() {
+		c.onLoop(func() { ok = holds() })
 	}
 }
 
-func (p *standIn) finish(id, end string) {
-	p.n++
-	p.s.deliver(p.link, fmt.Appendf(nil, "finished %d %s %s 100 2\r\nok\r\n", p.n, id, end))
+// poolMark answers the poll that follows bound; it is always false, so that await looks again.
+func (c *crowd) poolMark() bool {
+	if c.srv.pool.links == 1 && c.marks == 0 {
+		c.marks = 1
+		_, err := c.pool.Write([]byte("polled sync1 0 0 0 0\r\n"))
+		require.NoError(c.t, err)
+	}
+	return false
 }
 
-func (p *standIn) turn() {
-	for _, id := range slices.Sorted(maps.Keys(p.ends)) {
-		if p.s.now >= p.ends[id] {
-			delete(p.ends, id)
-			p.finish(id, "PASS")
+// command reads and does one command at the pool; it returns the tag of a poll.
+func (c *crowd) command() string {
+	line, err := c.poolIn.ReadString('\n')
+	require.NoError(c.t, err)
+	var id, class, tag string
+	var n int
+	if k, _ := fmt.Sscanf(line, "spawn %s %s %d", &id, &class, &n); k == 3 {
+		body := make([]byte, n+2)
+		_, err := io.ReadFull(c.poolIn, body)
+		require.NoError(c.t, err)
+		c.runs[string(body[:n])]++
+		c.queue = append(c.queue, id)
+	} else if k, _ := fmt.Sscanf(line, "suspend %s", &id); k == 1 {
+		if _, runs := c.ends[id]; runs {
+			delete(c.ends, id)
+			c.finish(id, "KILLED")
 		}
+	} else if k, _ := fmt.Sscanf(line, "bind %d", &n); k == 1 {
+		_, err := c.pool.Write([]byte("bound LOADED 0\r\n"))
+		require.NoError(c.t, err)
+	} else if k, _ := fmt.Sscanf(line, "poll %s", &tag); k == 1 {
+		return tag
 	}
-	p.read()
+	return ""
 }
 
-// thriftStatus reads the status of a Thrift answer, in AJP's numbers.
-func thriftStatus(t *testing.T, payload []byte) (seq int, status int) {
-	name := bytes.Index(payload, []byte("process"))
-	require.Positive(t, name, "%q", payload)
-	seq = int(binary.BigEndian.Uint32(payload[name+7:]))
-	return seq, map[byte]int{0: 200, 1: 503, 2: 502}[payload[name+13]]
+func (c *crowd) finish(id, end string) {
+	c.notices++
+	c.out = fmt.Appendf(c.out, "finished %d %s %s 100 2\r\nok\r\n", c.notices, id, end)
 }
 
-// Guards what both fronts promise: the same treatment. Under four times what the pool can do, a Thrift caller
-// and an AJP caller send requests mixed in the same turns, and then once more with the parts exchanged: what
-// befell the one protocol must befall the other. Each request is answered once, and intakes run once however
-// often they come, by either protocol.
-func TestOverloadTreatsBothFrontsAlike(t *testing.T) {
-	one, other := overload(t, false), overload(t, true)
-	t.Logf("thrift %v, ajp %v; exchanged: thrift %v, ajp %v", one["thrift"], one["ajp"], other["thrift"], other["ajp"])
-	require.Equal(t, one["thrift"], other["ajp"])
-	require.Equal(t, one["ajp"], other["thrift"])
-	for front, c := range one {
-		require.Positive(t, c[200], front)
-		require.Positive(t, c[503], "%s: no overload", front)
+// work lets the pool do what has been asked of it by now, and waits until the program has read its notices.
+func (c *crowd) work() {
+	c.marks++
+	mark := fmt.Sprintf("mark%d", c.marks)
+	c.onLoop(func() { c.srv.pool.write(pool.AppendPoll(nil, mark)) })
+	for c.command() != mark {
+	}
+	for _, id := range slices.Sorted(maps.Keys(c.ends)) {
+		if c.clock.Now() >= c.ends[id] {
+			delete(c.ends, id)
+			c.finish(id, "PASS")
+		}
 	}
+	for len(c.queue) > 0 && len(c.ends) < poolCores {
+		c.ends[c.queue[0]] = c.clock.Now() + poolWork
+		c.queue = c.queue[1:]
+	}
+	busy := len(c.ends) + len(c.queue)
+	c.out = fmt.Appendf(c.out, "polled %s %.2f %d 0.1 4\r\n", mark, float64(len(c.ends))/poolCores, busy)
+	c.finish("mark", "PASS")      // of no run: shows that all before it has been read
+	_, err := c.pool.Write(c.out) // at once, so that they are read in one turn
+	require.NoError(c.t, err)
+	c.out = c.out[:0]
+	c.await(func() bool { return c.srv.pool.notice == c.notices })
 }
 
-// overload plays a minute and a half; it returns how many answers each protocol got, by status.
-func overload(t *testing.T, exchanged bool) map[string]map[int]int {
-	s := newStage(t, config.AJP{BodyTimeout: micro.Second, MaxBody: 100, MaxConns: 99, Connections: 2})
-	p := &standIn{s: s, cores: 2, work: 200 * micro.Millisecond, ends: map[string]micro.Time{}, runs: map[string]int{}}
-	p.link = s.connect("pool", -1)
-	p.read()
-	desk := s.connect("desk", 0)
-	count := map[string]map[int]int{"thrift": {}, "ajp": {}}
-	offices := map[*fakeLink]int{} // what each AJP connection's request is
-	var idle []*fakeLink
-	asked, answered, seq := 0, map[int]bool{}, 0
-	collect := func() {
-		for {
-			payload, n, err := thrift.Split(desk.out)
-			require.NoError(t, err)
-			if payload == nil {
-				break
-			}
-			desk.out = desk.out[n:]
-			if bytes.Contains(payload, []byte("farewell")) {
-				continue // in the calm at the end
-			}
-			got, status := thriftStatus(t, payload)
-			require.False(t, answered[got], "two answers to request %d", got)
-			answered[got] = true
-			count["thrift"][status]++
+func (c *crowd) readDesk() {
+	for {
+		payload, err := c.desk.next()
+		if err != nil {
+			return
 		}
-		for l, id := range offices {
-			if len(l.out) == 0 {
-				continue
-			}
-			payload, _, err := ajp.Split(l.out, ajp.FromContainer)
-			require.NoError(t, err)
-			head, err := ajp.ParseResponse(payload)
-			require.NoError(t, err)
-			require.False(t, answered[id], "two answers to request %d", id)
-			answered[id] = true
-			count["ajp"][head.Status]++
-			if head.Status == 503 {
-				require.Contains(t, fmt.Sprint(head.Headers), "Retry-After")
-			}
-			l.out = l.out[:0]
-			delete(offices, l)
-			idle = append(idle, l)
+		if name := string(payload[8:min(15, len(payload))]); name == "process" {
+			status := map[byte]int{0: 200, 1: 503, 2: 502}[payload[21]]
+			c.answers <- answered{"thrift", int(binary.BigEndian.Uint32(payload[15:])), status}
 		}
 	}
-	call := func(class, once, body string) {
-		seq++
-		asked++
-		f := []thrift.Field{{Name: "class", Value: class}, {Name: "id", Value: fmt.Sprintf("%016x", seq)},
-			{Name: "at", Value: strconv.FormatInt(int64(s.now/micro.Millisecond), 10)}, {Name: "from", Value: "1"},
-			{Name: "tenant", Value: "hill-estate"}, {Name: "kb", Value: "32"}, {Name: "rank", Value: "0.5"}, {Name: "once", Value: once}}
-		s.deliver(desk, thrift.AppendCall(nil, int32(seq), f, []byte(body)))
+}
+
+// readOffice reads the answer to request id.
+func (c *crowd) readOffice(p *peer, id int) {
+	status := 0
+	for {
+		payload, err := p.next()
+		if err != nil {
+			return
+		}
+		switch r, err := ajp.ParseResponse(payload); {
+		case err != nil:
+			c.t.Errorf("AJP: %v", err)
+			return
+		case r.Code == ajp.CodeHeaders:
+			status = r.Status
+			if wait := slices.ContainsFunc(r.Headers, func(h ajp.Header) bool { return h.Name == "Retry-After" }); wait != (status == 503) {
+				c.t.Errorf("AJP: status %d with Retry-After %v", status, wait)
+			}
+		case r.Code == ajp.CodeEnd:
+			c.idle <- p
+			c.answers <- answered{"ajp", id, status}
+			return
+		}
 	}
-	forward := func(class, once, body string) {
-		seq++
-		asked++
-		if len(idle) == 0 {
-			idle = append(idle, s.connect(fmt.Sprintf("office%d", seq), 1))
+}
+
+// ask sends a request by one of the protocols and waits until the core has it.
+func (c *crowd) ask(front, class, once, body string) {
+	c.asked++
+	id := fmt.Sprintf("%016x", c.asked)
+	if front == "thrift" {
+		c.desk.write(thrift.AppendCall(nil, int32(c.asked), []thrift.Field{{Name: "class", Value: class}, {Name: "id", Value: id},
+			{Name: "at", Value: strconv.FormatInt(c.clock.UnixMilli(c.clock.Now()), 10)}, {Name: "from", Value: "1"},
+			{Name: "tenant", Value: "hill-estate"}, {Name: "kb", Value: "32"}, {Name: "rank", Value: "0.5"}, {Name: "once", Value: once}}, []byte(body)))
+	} else {
+		var p *peer
+		select {
+		case p = <-c.idle:
+		default:
+			p = dial(c.t, c.loop.Addr(1).String(), splitContainer)
 		}
-		l := idle[len(idle)-1]
-		idle = idle[:len(idle)-1]
-		offices[l] = seq
 		out := ajp.AppendForward(nil, ajp.Request{Method: "POST", URI: "/" + class, Headers: []ajp.Header{
-			{Name: "content-length", Value: strconv.Itoa(len(body))}, {Name: "X-Relay-Id", Value: fmt.Sprintf("%016x", seq)},
-			{Name: "X-Relay-Tenant", Value: "hill-estate"}, {Name: "X-Relay-From", Value: "1"}, {Name: "X-Relay-Rank", Value: "0.5"}, {Name: "X-Relay-Once", Value: once}}})
+			{Name: "content-length", Value: strconv.Itoa(len(body))}, {Name: "X-Relay-Id", Value: id}, {Name: "X-Relay-From", Value: "1"},
+			{Name: "X-Relay-Tenant", Value: "hill-estate"}, {Name: "X-Relay-Rank", Value: "0.5"}, {Name: "X-Relay-Once", Value: once}}})
 		out, _ = ajp.AppendBody(out, []byte(body))
-		s.deliver(l, out)
+		p.write(out)
+		go c.readOffice(p, c.asked)
 	}
+	c.await(func() bool { return c.srv.requests == c.asked })
+}
+
+// overload plays half a minute of four times what the pool can do, both protocols mixed; it returns how many
+// answers each got, by status. Intakes come once or twice, the second time at once and by the other protocol.
+func overload(t *testing.T, exchanged bool) map[string]map[int]int {
+	c := newCrowd(t)
 	rng := rand.New(rand.NewPCG(1, 2))
-	const rounds = 600
-	for i := range rounds * 5 { // a step is 20 ms; a round of two pairs is 100 ms: 40 a second where 10 can be done
-		s.advance(s.now + 20*micro.Millisecond)
-		p.turn()
-		if i%5 == 0 && i < rounds*5-500 {
-			one, two := fmt.Sprintf("a%d", i), fmt.Sprintf("b%d", i)
-			first, second := call, forward
+	for i := 0; i < 1250 || c.open() > 0; i++ {
+		c.clock.now.Add(int64(20 * micro.Millisecond))
+		c.onLoop(func() {})
+		c.work()
+		if i%5 == 0 && i < 1000 {
+			fronts, one, two := []string{"thrift", "ajp"}, fmt.Sprintf("a%d", i), fmt.Sprintf("b%d", i)
 			if exchanged != (rng.IntN(2) == 1) {
-				first, second = forward, call
+				slices.Reverse(fronts)
 			}
-			first("block-view", "", one)
-			second("block-view", "", two)
-			if rng.IntN(2) == 0 { // an intake, and perhaps its repeat by the other protocol
-				first("lot-intake", one, "intake"+one)
+			c.ask(fronts[0], "block-view", "", one)
+			c.ask(fronts[1], "block-view", "", two)
+			if rng.IntN(2) == 0 {
+				c.ask(fronts[0], "lot-intake", one, "intake"+one)
 				if rng.IntN(2) == 0 {
-					second("lot-intake", one, "intake"+one)
+					c.ask(fronts[1], "lot-intake", one, "intake"+one)
 				}
 			}
 		}
-		s.turn()
-		p.turn()
-		s.turn()
-		collect()
+		c.work()
 	}
-	require.Len(t, answered, asked, "a request without an answer")
-	for body, n := range p.runs {
+	count, seen := map[string]map[int]int{"thrift": {}, "ajp": {}}, map[int]bool{}
+	for range c.asked { // one that never comes hangs here
+		a := <-c.answers
+		require.False(t, seen[a.id], "two answers to request %d", a.id)
+		seen[a.id] = true
+		count[a.front][a.status]++
+	}
+	for body, n := range c.runs {
 		require.Equal(t, 1, n, "%s ran more than once", body)
 	}
 	return count
 }
+
+func (c *crowd) open() (n int) {
+	c.onLoop(func() { n = c.srv.core.Open() })
+	return n
+}
+
+// Guards what both fronts promise, the same treatment: under overload, requests by both protocols are mixed,
+// and then once more with the protocols exchanged. What befell the one must then befall the other, to the last
+// answer; each request is answered once, and no intake runs twice.
+func TestOverloadTreatsBothFrontsAlike(t *testing.T) {
+	one, other := overload(t, false), overload(t, true)
+	t.Logf("thrift %v, ajp %v; exchanged: thrift %v, ajp %v", one["thrift"], one["ajp"], other["thrift"], other["ajp"])
+	require.Equal(t, one["thrift"], other["ajp"])
+	require.Equal(t, one["ajp"], other["thrift"])
+	for front, c := range one {
+		require.Positive(t, c[200], front)
+		require.Positive(t, c[503], "%s: no overload", front)
+	}
+}
--- a/internal/edge/play_test.go
+++ b/internal/edge/play_test.go
@@ -203,6 +203,26 @@
 	return out.String()
 }
 
+// Guards the program against whatever bytes its peers send: nothing panics, and afterwards both fronts serve.
+func FuzzPeers(f *testing.F) {
+	f.Add([]byte("\x00\x00\x00\x16\x80\x01\x00\x01\x00\x00\x00\x05probe\x00\x00\x00\x03\x02\x00\x01\x00\x00"))
+	f.Add([]byte("\x12\x34\x00\x01\x0a\x12\x34\x00\x04\x02\x04\x00\x99"))
+	f.Add([]byte("bound LOADED 0\r\npolled sync1\r\nfinished 1 a PASS 1 0\r\n\r\n"))
+	f.Fuzz(func(t *testing.T, in []byte) {
+		s := newStage(t, config.AJP{BodyTimeout: micro.Second, MaxBody: 100, MaxConns: 99})
+		for i, l := range []*fakeLink{s.connect("pool", -1), s.connect("c1", 0), s.connect("a1", 1)} {
+			s.deliver(l, in)
+			s.turn()
+			require.LessOrEqual(t, len(l.in), len(in), i)
+		}
+		s.advance(s.now + 100*micro.Millisecond)
+		cping := []byte("\x12\x34\x00\x01\x0a")
+		office := s.connect("a2", 1)
+		s.deliver(office, cping)
+		require.Equal(t, "AB\x00\x01\x09", string(office.out))
+	})
+}
+
 // Each file of testdata is an exchange: what the peers send, and what the program is to answer.
 func TestPlay(t *testing.T) {
 	files, err := filepath.Glob("testdata/*.txt")
--- a/internal/edge/thrift.go
+++ b/internal/edge/thrift.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"strconv"
 
 	"pewterline/control"
@@ -120,7 +121,7 @@
 	}
 	r.Body = append([]byte(nil), m.Body...)
 	r.Reply = &thriftCall{t, m.Seq}
-	id, err := t.s.core.Submit(t.s.loop.Now(), r)
+	id, err := t.s.submit(r)
 	if err != nil {
 		return err
 	}
@@ -156,6 +157,10 @@
 	if r.Rank, err = strconv.ParseFloat(get("rank"), 64); err != nil {
 		return r, fmt.Errorf("rank: %q is not a number", get("rank"))
 	}
+	// Written with few digits, a rank just under 1 reads as 1.
+	if r.Rank == 1 {
+		r.Rank = math.Nextafter(1, 0)
+	}
 	if key := get("key"); key != "" {
 		if r.Key, err = strconv.ParseUint(key, 16, 64); err != nil {
 			return r, fmt.Errorf("key: %q is not a hex number", key)
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -72,9 +72,10 @@
 	require.NoError(t, record(t, s, r))
 	require.NoError(t, s.Close())
 
-	s, err = Open(Postgres, p.dsn(), "n0", 200*time.Millisecond)
+	s, err = Open(Postgres, p.dsn(), "n0", patience)
 	require.NoError(t, err)
-	p.set("INSERT", "hang")
+	s.timeout = 50 * time.Millisecond // from here on nothing is waited for that could come
+	p.set("BEGIN", "hang")
 	require.Error(t, record(t, s, r), "a database that does not answer")
 	_ = s.Close() // its connection is broken
 
@@ -226,7 +227,13 @@
 		b.Send(&pgproto3.ErrorResponse{Severity: "ERROR", Code: "53100", Message: "disk full"})
 		return false
 	case "hang":
-		return true // no word of its end
+		p.mu.Unlock()
+		for { // no word of its end
+			if _, err := b.Receive(); err != nil {
+				p.mu.Lock()
+				return false
+			}
+		}
 	}
 	arg := func(i int) string { // numbers may come in binary
 		v := bind.Parameters[i]
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -56,12 +56,17 @@
 	Turn(now micro.Time) micro.Time
 }
 
+// Clock tells the time of a turn. Timers run by the system's own clock.
+type Clock interface {
+	Now() micro.Time
+}
+
 // Options say what a Loop serves.
 type Options struct {
 	Listen    []string // addresses, in the order of Handler.Accept's index
 	Datagrams string   // the peer of Send; empty: none
 	MaxConns  int      // accepted connections beyond this are closed at once
-	Clock     micro.Clock
+	Clock     Clock
 	Logf      func(format string, args ...any)
 }
 
@@ -139,7 +144,7 @@
 // enrolSelf has the loop begin: gnet gives its handle only by a connection, so a datagram socket of our own is
 // enrolled for as long as that takes.
 func (l *Loop) enrolSelf() error {
-	c, err := net.Dial("udp", "127.0.0.1:9")
+	c, err := net.Dial("udp", l.addrs[0].String()) // our own address: nothing is sent
 	if err != nil {
 		return fmt.Errorf("datagram socket: %w", err)
 	}
@@ -484,7 +489,11 @@
 
 // Send sends one datagram; it may be lost, as any may.
 func (l *Loop) Send(p []byte) {
-	if l.udp != nil {
+	if l.udp == nil {
+		return
+	}
+	// A send may fail, unsent, for the refusal of the one before: the peer may be back since.
+	if _, err := l.udp.Write(p); err != nil {
 		_, _ = l.udp.Write(p)
 	}
 }
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -4,9 +4,11 @@
 	"bytes"
 	"io"
 	"net"
+	"os"
 	"testing"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 
 	"pewterline/internal/micro"
 )
@@ -97,10 +99,11 @@
 func TestDialUntilItOpens(t *testing.T) {
 	e := &echo{answer: []byte("r")}
 	l := start(t, e, 2)
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	// A port that is taken, and refuses until it listens.
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM, 0)
 	require.NoError(t, err)
-	addr := ln.Addr().String()
-	require.NoError(t, ln.Close())
+	require.NoError(t, unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	addr := localAddr(fd).String()
 	require.NoError(t, l.Execute(func() {
 		l.Dial(addr, func(k Link) Session {
 			s := &echoSession{e, k}
@@ -108,7 +111,12 @@
 			return s
 		})
 	}))
-	ln, err = net.Listen("tcp", addr)
+	_, err = net.Dial("tcp", addr)
+	require.Error(t, err)
+	require.NoError(t, unix.Listen(fd, 1))
+	file := os.NewFile(uintptr(fd), "listener")
+	defer file.Close()
+	ln, err := net.FileListener(file)
 	require.NoError(t, err)
 	defer ln.Close()
 	c, err := ln.Accept()
