Tell a change of health at the next report, not at once

Checked: the logs have 'hung' for 20 to 60 ms at 9.97 s on n0 and at 18.3 s on n1, both taken back.

Cause: Turn (edge.go) reported every flip at once, so that a doubt of 20 ms unlisted the server for about a second. Reports keep to their half second now; only the notice to leave is told at once. Health checks still get the health of the moment.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -108,7 +108,9 @@
 		return micro.Never
 	}
 	s.core.Step(now)
-	if s.core.Health() != s.reported || now >= s.nextReport {
+	// Guards the server list against a doubt of a moment: callers see a change a second or two late, and would
+	// stay away for as long. Only the notice to leave is told at once.
+	if now >= s.nextReport || s.draining && s.reported {
 		s.report(now)
 	}
 	if now >= s.nextSweep {
