Date the clock back an hour and drop what is not used

A cold pool that came up more than a second before the program would have been taken for younger than it is, as no instant lay before the clock's start (micro.go, NewClock; routing.go, Begin). Conversion to Unix milliseconds rounds to the nearest, so that a recorded 'at' is the one that came.

--- a/internal/micro/micro.go
+++ b/internal/micro/micro.go
@@ -26,8 +26,8 @@
 	origin time.Time // carries a monotonic reading
 }
 
-// NewClock starts a clock at a second, so that no instant of the process is zero.
-func NewClock() Clock { return Clock{origin: time.Now().Add(-time.Second)} }
+// NewClock starts a clock at an hour, so that what came up before the process has an instant as well.
+func NewClock() Clock { return Clock{origin: time.Now().Add(-time.Hour)} }
 
 // Now reads the monotonic clock.
 func (c Clock) Now() Time { return Of(time.Since(c.origin)) }
@@ -38,8 +38,8 @@
 	return Of(now.Sub(c.origin)) - Time(now.UnixMicro()-ms*1000)
 }
 
-// UnixMilli is the wall clock time of an instant, in Unix milliseconds.
+// UnixMilli is the wall clock time of an instant, to the nearest Unix millisecond.
 func (c Clock) UnixMilli(t Time) int64 {
 	now := time.Now()
-	return now.UnixMilli() - int64((Of(now.Sub(c.origin))-t)/Millisecond)
+	return int64((Time(now.UnixMicro()) - Of(now.Sub(c.origin)) + t + Millisecond/2) / Millisecond)
 }
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -117,7 +117,6 @@
 	wakes   []wake
 	gauges  control.Gauges
 	drained bool
-	stopAt  micro.Time
 
 	good      bool
 	say       float64
@@ -181,9 +180,6 @@
 // SetGauges notes the runner's latest readings.
 func (c *Core) SetGauges(g control.Gauges) { c.gauges = g }
 
-// Classes lists the classes in the order of Request.Class.
-func (c *Core) Classes() []control.Class { return c.settings.Classes }
-
 // Submit takes a request that a front has read. The returned ID is for GiveUp; the answer comes by Reply,
 // never before Submit returns.
 func (c *Core) Submit(now micro.Time, r Request) (control.ID, error) {
@@ -242,7 +238,7 @@
 		return
 	}
 	c.Begin(now, 0, false)
-	c.drained, c.stopAt = true, stop
+	c.drained = true
 	c.events = append(c.events, control.Drain{Stop: stop.Duration()})
 }
 
