--- a/internal/edge/loopback_test.go
+++ b/internal/edge/loopback_test.go
@@ -18,7 +18,6 @@
 	"pewterline/internal/protocol/thrift"
 	"pewterline/internal/store"
 	"pewterline/internal/transport"
-	"pewterline/internal/wire"
 )
 
 // socketPool is a stand-in worker pool on a real socket. It holds every run until it is let go.
@@ -88,13 +87,10 @@
 
 // serveLoopback runs a whole server on ports that the system picks, until stop or the test's end. A file keeps
 // its intakes; "" for none.
-func serveLoopback(t *testing.T, poolAddr, file string) (thriftAddr, ajpAddr string, stop func()) {
-	set, gauges, err := wire.ParseSettings([]byte(settings), 7)
-	require.NoError(t, err)
+func serveLoopback(t *testing.T, cfg config.Config, file string) (thriftAddr, ajpAddr string, stop func()) {
 	clock := micro.NewClock()
 	logf := func(f string, a ...any) { t.Logf(f, a...) }
-	srv, err := New(config.Config{Name: "n0", Pool: poolAddr, Stop: micro.Second, Settings: set, Gauges: gauges,
-		AJP: config.AJP{BodyTimeout: 10 * micro.Second, MaxBody: 100, MaxConns: 99}}, clock, logf)
+	srv, err := New(cfg, clock, logf)
 	require.NoError(t, err)
 	stored := func() {}
 	if file != "" {
@@ -197,7 +193,7 @@
 // whether the first is still running; a broken connection harms no other.
 func TestLoopbackOnce(t *testing.T) {
 	pool := newSocketPool(t)
-	thriftAddr, ajpAddr, _ := serveLoopback(t, pool.ln.Addr().String(), "")
+	thriftAddr, ajpAddr, _ := serveLoopback(t, testConfig(t, pool.ln.Addr().String()), "")
 	desk := dial(t, thriftAddr, thrift.Split)
 	office := dial(t, ajpAddr, splitContainer)
 	broken := dial(t, thriftAddr, thrift.Split)
@@ -248,14 +244,14 @@
 func TestLoopbackRestart(t *testing.T) {
 	file := filepath.Join(t.TempDir(), "intakes.db")
 	pool := newSocketPool(t)
-	thriftAddr, _, stop := serveLoopback(t, pool.ln.Addr().String(), file)
+	thriftAddr, _, stop := serveLoopback(t, testConfig(t, pool.ln.Addr().String()), file)
 	desk := dial(t, thriftAddr, thrift.Split)
 	sendIntake(desk, "k1")
 	pool.finish(<-pool.started, "weighed")
 	require.Contains(t, string(desk.read()), "weighed")
 	stop()
 
-	thriftAddr, ajpAddr, _ := serveLoopback(t, pool.ln.Addr().String(), file)
+	thriftAddr, ajpAddr, _ := serveLoopback(t, testConfig(t, pool.ln.Addr().String()), file)
 	office := dial(t, ajpAddr, splitContainer)
 	forwardIntake(office, "k1")
 	require.Equal(t, "weighed", readOK(office))
--- a/internal/edge/overload_test.go
+++ b/internal/edge/overload_test.go
@@ -16,13 +16,11 @@
 
 	"github.com/stretchr/testify/require"
 
-	"pewterline/internal/config"
 	"pewterline/internal/micro"
 	"pewterline/internal/protocol/ajp"
 	"pewterline/internal/protocol/pool"
 	"pewterline/internal/protocol/thrift"
 	"pewterline/internal/transport"
-	"pewterline/internal/wire"
 )
 
 // manualClock stands still until the test moves it; its Unix time is its own.
@@ -66,16 +64,13 @@
 )
 
 func newCrowd(t *testing.T) *crowd {
-	set, gauges, err := wire.ParseSettings([]byte(settings), 7)
-	require.NoError(t, err)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	defer ln.Close()
 	c := &crowd{t: t, ends: map[string]micro.Time{}, runs: map[string]int{}, idle: make(chan *peer, 1000), answers: make(chan answered, 10000)}
 	c.clock.now.Store(int64(micro.Second))
 	logf := func(string, ...any) {}
-	c.srv, err = New(config.Config{Name: "n0", Pool: ln.Addr().String(), Stop: micro.Second, Settings: set, Gauges: gauges,
-		AJP: config.AJP{BodyTimeout: 10 * micro.Second, MaxBody: 100, MaxConns: 900}}, &c.clock, logf)
+	c.srv, err = New(testConfig(t, ln.Addr().String()), &c.clock, logf)
 	require.NoError(t, err)
 	c.loop, err = transport.Start(transport.Options{Listen: []string{"127.0.0.1:0", "127.0.0.2:0"}, MaxConns: 950, Clock: &c.clock, Logf: logf},
 		c.srv, func(l *transport.Loop) { c.srv.Attach(l) })
--- a/internal/edge/play_test.go
+++ b/internal/edge/play_test.go
@@ -86,11 +86,19 @@
 	s.dials = append(s.dials, open)
 }
 
-func newStage(t *testing.T, ajp config.AJP) *stage {
+// testConfig is a configuration with the AJP front on.
+func testConfig(t *testing.T, pool string) config.Config {
 	set, gauges, err := wire.ParseSettings([]byte(settings), 7)
 	require.NoError(t, err)
-	cfg := config.Config{Name: "n0", Pool: "pool", Stop: 3200 * micro.Millisecond, Settings: set, Gauges: gauges, AJP: ajp}
+	return config.Config{Name: "n0", Pool: pool, Stop: 3200 * micro.Millisecond, Settings: set, Gauges: gauges,
+		AJP: config.AJP{BodyTimeout: 10 * micro.Second, MaxBody: 100, MaxConns: 900}}
+}
+
+func newStage(t *testing.T, ajp config.AJP) *stage {
+	cfg := testConfig(t, "pool")
+	cfg.AJP = ajp
 	s := &stage{t: t, now: micro.Second, links: map[string]*fakeLink{}}
+	var err error
 	s.srv, err = New(cfg, unixZero{}, func(f string, a ...any) { s.logged = append(s.logged, fmt.Sprintf(f, a...)) })
 	require.NoError(t, err)
 	s.srv.Attach(s)
