--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -62,6 +62,47 @@
 	require.Equal(t, want, got)
 }
 
+// Guards against a caller that connects as soon as the port listens: the program behind the loop has begun
+// before any session. The port is held, without listening, so that the caller can dial it from the start.
+func TestBeginComesFirst(t *testing.T) {
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM, 0)
+	require.NoError(t, err)
+	defer unix.Close(fd)
+	require.NoError(t, unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEPORT, 1))
+	require.NoError(t, unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	addr := localAddr(fd).String()
+	called := make(chan net.Conn)
+	go func() {
+		for {
+			if c, err := net.Dial("tcp", addr); err == nil {
+				called <- c
+				return
+			}
+		}
+	}()
+	e := &eager{echo: echo{answer: []byte("r"), closed: make(chan string, 10)}}
+	l, err := Start(Options{Listen: []string{addr}, MaxConns: 2, Clock: micro.NewClock(), Logf: t.Logf}, e, func(*Loop) { e.begun = true })
+	require.NoError(t, err)
+	c := <-called
+	works(t, c, e.answer) // its session is there
+	require.NoError(t, c.Close())
+	<-e.closed
+	l.Stop()
+	require.NoError(t, l.Wait())
+	require.False(t, e.early, "a session before the beginning")
+}
+
+// eager notes a session that comes before the program has begun.
+type eager struct {
+	echo
+	begun, early bool
+}
+
+func (e *eager) Accept(i int, l Link) Session {
+	e.early = e.early || !e.begun
+	return e.echo.Accept(i, l)
+}
+
 // Guards the memory: a peer that asks and never reads is cut off, and harms no other.
 func TestSlowReaderIsCut(t *testing.T) {
 	e := &echo{answer: bytes.Repeat([]byte("r"), 32<<10)}
