Take up a new configuration on SIGHUP without losing a run

Now the whole file is read and checked first; a faulty one is logged with its key and changes nothing. The new link is opened before the old one is let go, is bound with the last notice read, and sends again what has no notice; the old link is not heard any more, and its close or a dial still under way to an old address starts nothing there.

Ruled out: losing commands sent on the old link meanwhile, as the new one sends again every run without a notice.

--- a/cmd/pewterline/main.go
+++ b/cmd/pewterline/main.go
@@ -39,6 +39,11 @@
 	// the binary included, is more than the heap. Two threads, so that a timer fires while the loop waits.
 	debug.SetMemoryLimit(cfg.Memory / 2)
 	runtime.GOMAXPROCS(2)
+	// From here on: a signal that comes while the program starts waits for it. There is room for several, so that
+	// none is lost behind another.
+	signals := make(chan os.Signal, 8)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	defer signal.Stop(signals)
 	clock := micro.NewClock()
 	srv, err := edge.New(cfg, clock, log.Printf)
 	if err != nil {
@@ -64,18 +69,43 @@
 	if cfg.AJP.Listen != "" {
 		opts.Listen = append(opts.Listen, cfg.AJP.Listen)
 	}
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	loop, err := transport.Start(opts, srv, func(l *transport.Loop) { srv.Attach(l) })
 	if err != nil {
 		return err
 	}
+	ended := make(chan struct{})
+	defer close(ended)
 	go func() {
-		<-signals
-		if err := loop.Execute(func() { srv.Drain(loop.Now()) }); err != nil {
-			log.Printf("drain: %v", err)
+		for {
+			select {
+			case sig := <-signals:
+				handle(sig, loop, srv)
+			case <-ended:
+				return
+			}
 		}
 	}()
 	log.Printf("%s serves on %v", cfg.Name, loop.Addr(0))
 	return loop.Wait()
 }
+
+// handle obeys a signal: SIGHUP has the configuration read anew, the others are the notice to drain.
+func handle(sig os.Signal, loop *transport.Loop, srv *edge.Server) {
+	do := func() { srv.Drain(loop.Now()) }
+	if sig == syscall.SIGHUP {
+		// Read and checked as a whole before anything changes: a faulty file must not harm a server that serves.
+		cfg, err := config.Load(os.Getenv)
+		if err != nil {
+			log.Printf("SIGHUP: %v; nothing has changed", err)
+			return
+		}
+		do = func() {
+			if err := srv.Reload(cfg); err != nil {
+				log.Printf("SIGHUP: %v; nothing has changed", err)
+			}
+		}
+	}
+	if err := loop.Execute(do); err != nil {
+		log.Printf("%v: %v", sig, err)
+	}
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -23,7 +23,8 @@
 // Loop is what the server needs of the event loop.
 type Loop interface {
 	Now() micro.Time
-	Dial(addr string, open func(transport.Link) transport.Session)
+	Dial(addr string, open func(transport.Link) transport.Session) (drop func())
+	Datagrams(addr string) error
 	Send([]byte)
 	Execute(func()) error
 	Stop()
@@ -88,12 +89,31 @@
 func (s *Server) Attach(l Loop) {
 	s.loop = l
 	if s.pool != nil {
-		l.Dial(s.cfg.Pool, func(c transport.Link) transport.Session { return s.pool.opened(c) })
+		s.pool.dial()
 	} else {
 		s.core.Begin(l.Now(), 0, false)
 	}
 }
 
+// Reload takes up a configuration that was read anew while serving: the addresses of the pool and of the control
+// plane, and the time to stop. Runs go on, and the new link is bound with the last notice that was read. What is
+// built into the running program holds until a restart.
+func (s *Server) Reload(next config.Config) error {
+	if next.Control != s.cfg.Control {
+		if err := s.loop.Datagrams(next.Control); err != nil {
+			return fmt.Errorf("control: %w", err)
+		}
+		s.cfg.Control, s.nextReport = next.Control, 0 // the new address hears of us at once
+	}
+	if s.pool != nil && next.Pool != s.cfg.Pool {
+		s.cfg.Pool = next.Pool
+		s.pool.dial()
+	}
+	s.cfg.Stop = next.Stop
+	s.logf("edge: configuration read anew: pool %s, control %s", s.cfg.Pool, s.cfg.Control)
+	return nil
+}
+
 // Accept gives a connection its session. The first listener is the platform's, the second AJP's.
 func (s *Server) Accept(listener int, c transport.Link) transport.Session {
 	if listener == 1 {
--- a/internal/edge/play_test.go
+++ b/internal/edge/play_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -39,13 +40,21 @@
 	next    micro.Time
 	links   map[string]*fakeLink
 	order   []string
-	dials   []func(transport.Link) transport.Session
+	dials   []*fakeDial
+	control string // where reports go
 	report  string
 	reports []string
 	stopped bool
 	logged  []string
 }
 
+// fakeDial is a link that the program wants.
+type fakeDial struct {
+	addr    string
+	open    func(transport.Link) transport.Session
+	dropped bool
+}
+
 // fakeLink is a connection whose bytes the test reads and writes.
 type fakeLink struct {
 	name    string
@@ -82,8 +91,14 @@
 		s.report, s.reports = text, append(s.reports, text)
 	}
 }
-func (s *stage) Dial(_ string, open func(transport.Link) transport.Session) {
-	s.dials = append(s.dials, open)
+func (s *stage) Dial(addr string, open func(transport.Link) transport.Session) func() {
+	d := &fakeDial{addr: addr, open: open}
+	s.dials = append(s.dials, d)
+	return func() { d.dropped = true }
+}
+func (s *stage) Datagrams(addr string) error {
+	s.control, s.report = addr, ""
+	return nil
 }
 
 // testConfig is a configuration with the AJP front on.
@@ -97,7 +112,7 @@
 func newStage(t *testing.T, ajp config.AJP) *stage {
 	cfg := testConfig(t, "pool")
 	cfg.AJP = ajp
-	s := &stage{t: t, now: micro.Second, links: map[string]*fakeLink{}}
+	s := &stage{t: t, now: micro.Second, links: map[string]*fakeLink{}, control: "control"}
 	var err error
 	s.srv, err = New(cfg, unixZero{}, func(f string, a ...any) { s.logged = append(s.logged, fmt.Sprintf(f, a...)) })
 	require.NoError(t, err)
@@ -110,9 +125,10 @@
 	l := &fakeLink{name: name}
 	if listener < 0 {
 		require.NotEmpty(s.t, s.dials, "nothing was dialled")
-		open := s.dials[0]
+		d := s.dials[0]
 		s.dials = s.dials[1:]
-		l.session = open(l)
+		require.False(s.t, d.dropped, "the dial was given up")
+		l.session = d.open(l)
 	} else {
 		l.session = s.srv.Accept(listener, l)
 	}
@@ -174,7 +190,7 @@
 			}
 		}
 		for _, r := range s.reports {
-			fmt.Fprintf(&out, "control < %s\n", strconv.Quote(r))
+			fmt.Fprintf(&out, "%s < %s\n", s.control, strconv.Quote(r))
 		}
 		s.reports = nil
 		if s.stopped {
@@ -194,6 +210,15 @@
 			ms, err := strconv.Atoi(line[1:])
 			require.NoError(s.t, err, line)
 			s.advance(micro.Time(ms) * micro.Millisecond)
+		case words[0] == "reload":
+			cfg := s.srv.cfg
+			cfg.Pool, cfg.Control = words[1], words[2]
+			require.NoError(s.t, s.srv.Reload(cfg))
+		case line == "dials":
+			s.dials = slices.DeleteFunc(s.dials, func(d *fakeDial) bool { return d.dropped })
+			for _, d := range s.dials {
+				fmt.Fprintf(&out, "dials < %s\n", strconv.Quote(d.addr))
+			}
 		case words[0] == "drain":
 			s.srv.Drain(s.now)
 		case words[0] == "open":
--- a/internal/edge/pool.go
+++ b/internal/edge/pool.go
@@ -18,6 +18,7 @@
 type poolLink struct {
 	s      *Server
 	conn   transport.Link // nil while there is no link
+	drop   func()         // gives up the link that is being dialled; nil while none is
 	synced bool           // the missed notices of this link have been read
 	links  int            // opened so far; names the poll that marks their end
 	notice uint64
@@ -36,11 +37,30 @@
 
 func newPoolLink(s *Server) *poolLink { return &poolLink{s: s, runs: map[string]*poolRun{}} }
 
+// dial opens a new link, in place of any that is still being dialled. The link in use, if there is one, serves on
+// until the new one is open.
+func (p *poolLink) dial() {
+	if p.drop != nil {
+		p.drop()
+	}
+	p.drop = p.s.loop.Dial(p.s.cfg.Pool, p.opened)
+}
+
 func (p *poolLink) opened(c transport.Link) transport.Session {
-	p.conn, p.synced = c, false
+	if p.conn != nil {
+		p.conn.Close() // a new configuration has replaced it
+	}
+	p.conn, p.synced, p.drop = c, false, nil
 	p.links++
 	p.write(pool.AppendBind(p.out[:0], p.notice))
-	return p
+	return &poolSession{p, c}
+}
+
+// poolSession is one link. Only the one in use is heard: guards against a link to an old address, whose notices
+// come again on the new one, and whose close must not have the new address dialled twice.
+type poolSession struct {
+	*poolLink
+	link transport.Link
 }
 
 func (p *poolLink) syncTag() string { return "sync" + strconv.Itoa(p.links) }
@@ -92,7 +112,10 @@
 }
 
 // Receive is part of transport.Session.
-func (p *poolLink) Receive(in []byte) (int, error) {
+func (p *poolSession) Receive(in []byte) (int, error) {
+	if p.conn != p.link {
+		return len(in), nil
+	}
 	n := 0
 	for {
 		m, size, err := pool.Parse(in[n:])
@@ -105,10 +128,15 @@
 }
 
 // Closed is part of transport.Session.
-func (p *poolLink) Closed() {
+func (p *poolSession) Closed() {
+	if p.conn != p.link {
+		return
+	}
 	p.conn, p.synced = nil, false
 	p.s.logf("pool: link lost, %d runs under way", len(p.runs))
-	p.s.loop.Dial(p.s.cfg.Pool, func(c transport.Link) transport.Session { return p.opened(c) })
+	if p.drop == nil {
+		p.dial()
+	}
 }
 
 var poolEnds = map[pool.End]routing.End{
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -109,12 +109,8 @@
 	l := &Loop{opts: opts, handler: h, begin: begin, armed: micro.Never, up: make(chan struct{}), done: make(chan error, 1)}
 	l.timer = time.AfterFunc(time.Hour, l.wake)
 	l.timer.Stop()
-	if opts.Datagrams != "" {
-		c, err := net.Dial("udp", opts.Datagrams)
-		if err != nil {
-			return nil, fmt.Errorf("transport: datagrams: %w", err)
-		}
-		l.udp = c
+	if err := l.Datagrams(opts.Datagrams); err != nil {
+		return nil, err
 	}
 	addrs := make([]string, len(opts.Listen))
 	for i, a := range opts.Listen {
@@ -283,9 +279,13 @@
 	}
 	l.touch()
 	if c, ok := gc.Context().(*Conn); ok { // dialled
+		k := c.session.(*dialled)
+		if k.dropped.Load() {
+			return nil, gnet.Close // it opened after it was given up
+		}
 		c.gc = gc
 		_ = gc.SetNoDelay(true)
-		c.session = c.session.(*dialled).opened(c)
+		c.session = k.open(c)
 		return nil, gnet.None
 	}
 	// Guards against running out of descriptors, upon which gnet gives up listening altogether.
@@ -446,22 +446,24 @@
 
 // dialled is the session of a dialled connection until that is open.
 type dialled struct {
-	loop  *Loop
-	addr  string
-	open  func(Link) Session
-	wait  time.Duration
-	again bool
+	loop    *Loop
+	addr    string
+	open    func(Link) Session
+	wait    time.Duration
+	dropped atomic.Bool // nobody wants it any more
 }
 
 // Dial opens a connection to addr on the loop; open gives its session. A link that cannot be opened is tried
-// again after a while, longer each time, until it can.
-func (l *Loop) Dial(addr string, open func(Link) Session) {
+// again after a while, longer each time, until it can, or until drop is called on the loop: open is not called
+// after that.
+func (l *Loop) Dial(addr string, open func(Link) Session) (drop func()) {
 	k := &dialled{loop: l, addr: addr, open: open, wait: redialFirst}
 	go k.dial()
+	return func() { k.dropped.Store(true) }
 }
 
 func (k *dialled) dial() {
-	for !k.loop.ended.Load() {
+	for !k.loop.ended.Load() && !k.dropped.Load() {
 		nc, err := net.DialTimeout("tcp", k.addr, dialTimeout)
 		if err == nil {
 			ctx := gnet.NewContext(gnet.NewNetConnContext(context.Background(), nc), &Conn{loop: k.loop, session: k})
@@ -479,14 +481,28 @@
 	}
 }
 
-func (k *dialled) opened(c *Conn) Session { return k.open(c) }
-
 // Receive and Closed are never called: a link gives way to its session as it opens.
 func (k *dialled) Receive(in []byte) (int, error) { return len(in), nil }
 
 // Closed is part of Session.
 func (k *dialled) Closed() {}
 
+// Datagrams sets the peer of Send; empty: none. On an error the one before stays.
+func (l *Loop) Datagrams(addr string) error {
+	var c net.Conn
+	if addr != "" {
+		var err error
+		if c, err = net.Dial("udp", addr); err != nil {
+			return fmt.Errorf("transport: datagrams: %w", err)
+		}
+	}
+	if l.udp != nil {
+		_ = l.udp.Close()
+	}
+	l.udp = c
+	return nil
+}
+
 // Send sends one datagram; it may be lost, as any may.
 func (l *Loop) Send(p []byte) {
 	if l.udp == nil {
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -168,6 +168,57 @@
 	<-e.closed
 }
 
+// Guards a change of configuration: a link that was dropped while it was dialled is closed as it opens, and its
+// address is not dialled again.
+func TestDroppedDialNeverOpens(t *testing.T) {
+	l := start(t, &echo{answer: []byte("r")}, 2)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer ln.Close()
+	var peer net.Conn
+	opened := make(chan struct{}, 1)
+	require.NoError(t, l.Execute(func() {
+		drop := l.Dial(ln.Addr().String(), func(k Link) Session {
+			opened <- struct{}{}
+			return &echoSession{l.handler.(*echo), k}
+		})
+		peer, err = ln.Accept() // the loop is here, so the link cannot be open on it yet
+		drop()
+	}))
+	done := make(chan struct{})
+	require.NoError(t, l.Execute(func() { close(done) }))
+	<-done
+	require.NoError(t, err)
+	defer peer.Close()
+	_, err = peer.Read(make([]byte, 1))
+	require.ErrorIs(t, err, io.EOF)
+	require.Empty(t, opened)
+}
+
+// Reports go to the address set last; one that makes no sense leaves the one before.
+func TestDatagramsMove(t *testing.T) {
+	l := start(t, &echo{}, 2)
+	peers := make([]net.PacketConn, 2)
+	for i := range peers {
+		var err error
+		peers[i], err = net.ListenPacket("udp", "127.0.0.1:0")
+		require.NoError(t, err)
+		defer peers[i].Close()
+		failed := make(chan error, 2)
+		require.NoError(t, l.Execute(func() {
+			failed <- l.Datagrams(peers[i].LocalAddr().String())
+			failed <- l.Datagrams("nowhere")
+			l.Send([]byte{byte(i)})
+		}))
+		require.NoError(t, <-failed)
+		require.Error(t, <-failed)
+		got := make([]byte, 2)
+		n, _, err := peers[i].ReadFrom(got)
+		require.NoError(t, err)
+		require.Equal(t, []byte{byte(i)}, got[:n])
+	}
+}
+
 // What a session leaves in its buffer stays there, compacted, until it is whole.
 func TestCompact(t *testing.T) {
 	c := &Conn{buf: []byte("abcdef")}
