Close strangers, make room, and refuse reused numbers and foreign keys

Checked: the logs of all servers by kind of line. At fault: routing/keys.go arrive() matched a key by class and text and never by body; edge/thrift.go process() refused the second request under an open number but served the first; transport.go OnOpen() closed the newcomer whoever held the places, and nothing ever closed a silent one; routing.go finish() gave Rejected as OutcomeError, which the module takes for a failing machine; ParseFloat and ParseInt took signs and exponents, and 'at' could overflow. One connection could hold 1 MB unsent and any amount untaken.

A try that was not started now hands its run to a waiting repeat whether its caller left or the pool does not know it.

--- a/cmd/pewterline/main.go
+++ b/cmd/pewterline/main.go
@@ -20,7 +20,7 @@
 
 // spareSockets are the descriptors left beside the accepted connections: the listeners, the poller, the pool
 // link and the standard streams, with room.
-const spareSockets = 64
+const spareSockets = 40
 
 func main() {
 	log.SetFlags(log.Ltime | log.Lmicroseconds)
@@ -64,7 +64,12 @@
 		}
 	}
 	opts := transport.Options{
-		Listen: []string{cfg.Listen}, Datagrams: cfg.Control, MaxConns: cfg.Sockets - spareSockets - cfg.AJP.Connections, Clock: clock, Logf: log.Printf,
+		Listen: []string{cfg.Listen}, Datagrams: cfg.Control, MaxConns: cfg.Sockets - spareSockets, Clock: clock, Logf: log.Printf,
+		// The limit on memory counts what the kernel holds of the sockets too; this leaves it as much again.
+		Buffers: int(cfg.Memory / 8),
+	}
+	if cfg.AJP.Runner != "" {
+		opts.MaxConns -= cfg.AJP.Connections
 	}
 	if cfg.AJP.Listen != "" {
 		opts.Listen = append(opts.Listen, cfg.AJP.Listen)
--- a/internal/edge/ajp.go
+++ b/internal/edge/ajp.go
@@ -81,6 +81,9 @@
 	a.body = nil
 }
 
+// Idle is part of transport.Session.
+func (a *ajpSession) Idle() bool { return a.phase == awaitRequest }
+
 // Receive is part of transport.Session.
 func (a *ajpSession) Receive(in []byte) (int, error) {
 	n := 0
@@ -117,6 +120,7 @@
 	a.due = a.s.loop.Now() + idleMost
 	switch payload[0] {
 	case ajp.CodeCPing:
+		a.conn.Vouch()
 		a.write(ajp.AppendCPong(a.out[:0]))
 	case ajp.CodeShutdown: // anyone who reaches the port could stop the server
 		a.s.logf("ajp: %s: shutdown is not obeyed", a.conn.Remote())
@@ -141,6 +145,7 @@
 	case subtle.ConstantTimeCompare([]byte(a.req.Secret), []byte(cfg.Secret)) != 1 && cfg.Secret != "":
 		a.refuse(403, "the secret is not ours")
 	case a.req.URI == healthPath:
+		a.conn.Vouch()
 		a.health()
 	case a.req.Method != "POST" && a.req.Method != "PUT" && a.req.Method != "GET":
 		a.refuse(405, a.req.Method+" is not offered")
@@ -206,6 +211,7 @@
 	if err == nil {
 		a.phase = awaitAnswer
 		if a.id, err = a.s.submit(r); err == nil {
+			a.conn.Vouch()
 			a.body = nil // the core has it
 			return
 		}
--- a/internal/edge/ajprunner.go
+++ b/internal/edge/ajprunner.go
@@ -216,6 +216,9 @@
 	return nil
 }
 
+// Idle is part of transport.Session.
+func (b *ajpBackend) Idle() bool { return b.run == nil }
+
 // Closed is part of transport.Session.
 func (b *ajpBackend) Closed() {
 	r := b.r
--- a/internal/edge/play_test.go
+++ b/internal/edge/play_test.go
@@ -62,6 +62,7 @@
 	in, out []byte
 	closed  bool
 	resume  bool
+	vouched bool
 	told    bool // its close is in the transcript
 }
 
@@ -72,6 +73,7 @@
 }
 func (l *fakeLink) Close()         { l.closed = true }
 func (l *fakeLink) Resume()        { l.resume = true }
+func (l *fakeLink) Vouch()         { l.vouched = true }
 func (l *fakeLink) Remote() string { return l.name }
 
 // unixZero is a wall clock whose time is the stage's.
--- a/internal/edge/pool.go
+++ b/internal/edge/pool.go
@@ -127,6 +127,9 @@
 	}
 }
 
+// Idle is part of transport.Session. The link is never closed to make room.
+func (p *poolSession) Idle() bool { return false }
+
 // Closed is part of transport.Session.
 func (p *poolSession) Closed() {
 	if p.conn != p.link {
--- a/internal/edge/thrift.go
+++ b/internal/edge/thrift.go
@@ -1,9 +1,11 @@
 package edge
 
 import (
+	"errors"
 	"fmt"
 	"math"
 	"strconv"
+	"strings"
 
 	"pewterline/control"
 	"pewterline/internal/micro"
@@ -12,14 +14,19 @@
 	"pewterline/internal/transport"
 )
 
-// maxOpen bounds the open requests of a connection: twice what the platform allows, as answers cross requests.
-const maxOpen = 64
+const (
+	maxOpen   = 32 // open requests of a connection: what the platform allows
+	maxFaults = 16 // messages in a row that make no sense before a connection is given up
+	turnsWork = 64 // messages of a connection that a turn takes: all that a proxy may have open, and as many giveUps
+)
 
 // thriftSession is the platform's front on one connection.
 type thriftSession struct {
 	s      *Server
 	conn   transport.Link
 	open   map[int32]control.ID // by sequence number
+	seq    int32                // the highest so far
+	faults int                  // messages that made no sense since the last that did
 	last   micro.Time           // of the last request or answer
 	bidden bool                 // farewell was sent
 	closed bool
@@ -51,7 +58,8 @@
 // Receive is part of transport.Session.
 func (t *thriftSession) Receive(in []byte) (int, error) {
 	n := 0
-	for {
+	// Guards the others' share of the core against whoever sends without end.
+	for range turnsWork {
 		payload, size, err := thrift.Split(in[n:])
 		if err != nil || payload == nil {
 			return n, err
@@ -59,15 +67,31 @@
 		n += size
 		m, answerable, err := thrift.Decode(payload)
 		if err == nil {
-			t.take(m)
-		} else if !answerable {
-			return n, err
-		} else {
+			err = t.take(m)
+		} else if answerable {
 			t.except(m, thrift.ProtocolError, err)
+			err = nil
+		}
+		if err == nil && t.faults > maxFaults {
+			err = errFaults
+		}
+		if err != nil {
+			return n, err
 		}
 	}
+	t.conn.Resume()
+	return n, nil
 }
 
+var (
+	errFaults  = fmt.Errorf("%w: %d messages in a row make no sense", thrift.ErrFrame, maxFaults)
+	errTwice   = fmt.Errorf("%w: two requests under one number", thrift.ErrFrame)
+	errUnasked = errors.New("no such method")
+)
+
+// Idle is part of transport.Session.
+func (t *thriftSession) Idle() bool { return len(t.open) == 0 }
+
 // Closed is part of transport.Session: whoever waits on this connection has left.
 func (t *thriftSession) Closed() {
 	t.closed = true
@@ -79,37 +103,64 @@
 }
 
 func (t *thriftSession) except(m thrift.Message, code uint32, err error) {
+	t.faults++
 	t.s.logf("thrift: %s: %s %d: %v", t.conn.Remote(), m.Name, m.Seq, err)
 	if !m.Oneway {
 		t.write(thrift.AppendException(t.out[:0], m.Name, m.Seq, code, err.Error()))
 	}
 }
 
-func (t *thriftSession) take(m thrift.Message) {
+// take carries out a message. An error means that the connection is past help.
+func (t *thriftSession) take(m thrift.Message) error {
 	t.last = t.s.loop.Now()
 	switch m.Method {
 	case thrift.Process:
+		if m.Seq <= t.seq && !m.Oneway {
+			return t.reused(m)
+		}
+		t.seq = max(t.seq, m.Seq)
 		if err := t.process(m); err != nil {
 			t.except(m, thrift.ProtocolError, err)
+			return nil
 		}
+		t.valid()
 	case thrift.GiveUp:
 		if id, ok := t.open[m.GaveUp]; ok {
 			delete(t.open, m.GaveUp)
 			t.s.core.GiveUp(id)
 		}
 	case thrift.Probe:
+		t.valid()
 		t.write(thrift.AppendAnswer(t.out[:0], m.Name, m.Seq, nil, t.s.sayField(nil), t.s.core.Health()))
 	default:
-		t.except(m, thrift.UnknownMethod, fmt.Errorf("no such method"))
+		t.except(m, thrift.UnknownMethod, errUnasked)
+	}
+	return nil
+}
+
+func (t *thriftSession) valid() {
+	t.faults = 0
+	t.conn.Vouch()
+}
+
+// reused ends a connection on which a number comes again. Numbers go up, so whoever sends it is no proxy; and an
+// answer under that number would be taken for either request's. Neither is served: one that is open is given up,
+// and the number gets one error.
+func (t *thriftSession) reused(m thrift.Message) error {
+	if id, ok := t.open[m.Seq]; ok {
+		delete(t.open, m.Seq)
+		t.s.core.GiveUp(id)
 	}
+	t.except(m, thrift.ProtocolError, errTwice)
+	return errTwice
 }
 
 // maxBody is the protocol's bound on a request's body.
 const maxBody = 2 << 10
 
 func (t *thriftSession) process(m thrift.Message) error {
-	if _, taken := t.open[m.Seq]; taken {
-		return fmt.Errorf("sequence number is open already")
+	if m.Oneway {
+		return fmt.Errorf("a request must be a call")
 	} else if len(t.open) >= maxOpen {
 		return fmt.Errorf("%d requests are open already", len(t.open))
 	} else if len(m.Body) > maxBody {
@@ -141,20 +192,24 @@
 	if r.RunID = get("id"); !hexDigits(r.RunID, 16) {
 		return r, fmt.Errorf("id: %q is not 16 hex digits", r.RunID)
 	}
-	at, err := strconv.ParseInt(get("at"), 10, 64)
+	at, err := strconv.ParseUint(get("at"), 10, 50) // no sign; and its microseconds can be counted
 	if err != nil {
 		return r, fmt.Errorf("at: %q is not a time in milliseconds", get("at"))
 	}
-	r.At = min(s.wall.FromUnixMilli(at), s.loop.Now())
+	now := s.loop.Now()
+	if r.At = s.wall.FromUnixMilli(int64(at)); r.At > now+aheadMost {
+		return r, fmt.Errorf("at: %d is over %v ahead", at, aheadMost.Duration())
+	}
+	r.At = min(max(r.At, now-pastMost), now)
 	from, err := strconv.ParseUint(get("from"), 10, 32)
 	if err != nil {
 		return r, fmt.Errorf("from: %q is not a number", get("from"))
 	}
 	r.Caller = uint32(from)
-	if r.HeldKB, err = strconv.ParseFloat(get("kb"), 64); err != nil {
+	if r.HeldKB, err = decimal(get("kb")); err != nil {
 		return r, fmt.Errorf("kb: %q is not a number", get("kb"))
 	}
-	if r.Rank, err = strconv.ParseFloat(get("rank"), 64); err != nil {
+	if r.Rank, err = decimal(get("rank")); err != nil {
 		return r, fmt.Errorf("rank: %q is not a number", get("rank"))
 	}
 	// Written with few digits, a rank just under 1 reads as 1.
@@ -173,6 +228,19 @@
 	return r, nil
 }
 
+const (
+	aheadMost = 10 * micro.Second  // that a request's own time may be ahead of ours
+	pastMost  = 600 * micro.Second // beyond any deadline and window; what came before that came then
+)
+
+// decimal reads digits with at most one point among them: no sign, exponent or word, which ParseFloat takes too.
+func decimal(s string) (float64, error) {
+	if strings.Trim(s, "0123456789.") != "" {
+		return 0, strconv.ErrSyntax
+	}
+	return strconv.ParseFloat(s, 64)
+}
+
 func hexDigits(s string, n int) bool {
 	for i := range len(s) {
 		if c := s[i] | 0x20; (c < '0' || c > '9') && (c < 'a' || c > 'f') {
--- a/internal/routing/keys.go
+++ b/internal/routing/keys.go
@@ -1,6 +1,9 @@
 package routing
 
 import (
+	"fmt"
+	"hash/maphash"
+
 	"pewterline/control"
 	"pewterline/internal/micro"
 )
@@ -11,13 +14,15 @@
 
 // onceKey names a request over all its tries. The same text from another tenant is another request.
 type onceKey struct {
-	class, tenant int
-	once          string
+	tenant int
+	once   string
 }
 
 // onceEntry is what is known of one keyed request.
 type onceEntry struct {
 	name    onceKey
+	class   int
+	sum     uint64     // of the body; all tries have the same
 	holder  control.ID // the try that the module knows as the original
 	expires micro.Time // of the module's Keep
 	kept    bool       // false: only seen in this turn
@@ -49,17 +54,33 @@
 	byName map[onceKey]*onceEntry
 	byID   map[control.ID]*onceEntry // by holder
 	fresh  []*onceEntry              // seen in this turn and not yet kept
+	seed   maphash.Seed
 	swept  micro.Time
 }
 
 func newKeyTable() keyTable {
-	return keyTable{byName: map[onceKey]*onceEntry{}, byID: map[control.ID]*onceEntry{}}
+	return keyTable{byName: map[onceKey]*onceEntry{}, byID: map[control.ID]*onceEntry{}, seed: maphash.MakeSeed()}
+}
+
+// check refuses a request whose key is another request's. Guards against an answer with the result of what was
+// never asked for: all tries of one request have its class and body. An entry of an earlier life has no sum.
+func (t *keyTable) check(r *Request) error {
+	e := t.byName[onceKey{r.Tenant, r.Once}]
+	switch {
+	case e == nil || r.Once == "":
+		return nil
+	case e.class != r.Class:
+		return fmt.Errorf("once: the key is of a request of another class")
+	case !e.restored && e.sum != maphash.Bytes(t.seed, r.Body):
+		return fmt.Errorf("once: the key is of a request with another body")
+	}
+	return nil
 }
 
 // arrive finds the entry of a request, or makes one that lasts for this turn unless the module keeps it. The
 // ID is that of the try it repeats, 0 for none. What counts is when the repeat arrived, not when it is read.
 func (t *keyTable) arrive(r *request) (*onceEntry, control.ID) {
-	name := onceKey{r.Class, r.Tenant, r.Once}
+	name := onceKey{r.Tenant, r.Once}
 	e := t.byName[name]
 	if e != nil && (!e.kept || r.At < e.expires || e.ran && !e.over) {
 		return e, e.holder
@@ -67,7 +88,7 @@
 	if e != nil {
 		t.remove(e)
 	}
-	e = &onceEntry{name: name, holder: r.id}
+	e = &onceEntry{name: name, class: r.Class, sum: maphash.Bytes(t.seed, r.Body), holder: r.id}
 	t.byName[name], t.byID[r.id] = e, e
 	t.fresh = append(t.fresh, e)
 	return e, 0
--- a/internal/routing/record.go
+++ b/internal/routing/record.go
@@ -26,7 +26,7 @@
 		return
 	}
 	e := &onceEntry{
-		name: onceKey{in.Class, in.Tenant, in.Once}, kept: true, ran: true, at: in.At, over: true, end: Passed,
+		name: onceKey{in.Tenant, in.Once}, class: in.Class, kept: true, ran: true, at: in.At, over: true, end: Passed,
 		result: in.Result, restored: true, expires: in.At + micro.Of(c.settings.Classes[in.Class].Window),
 	}
 	c.keys.byName[e.name] = e
@@ -36,7 +36,7 @@
 // What cannot be recorded is not answered as served, and not run again either: a repeat tries to record it.
 func (c *Core) save(k *onceEntry, r *request) {
 	k.saving = true
-	in := Intake{Class: k.name.class, Tenant: k.name.tenant, Once: k.name.once, At: k.at, Result: k.result}
+	in := Intake{Class: k.class, Tenant: k.name.tenant, Once: k.name.once, At: k.at, Result: k.result}
 	c.recorder.Record(in, func(err error) {
 		k.saving = false
 		if err != nil {
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -197,6 +197,9 @@
 	if keyed && r.Once == "" {
 		return 0, fmt.Errorf("once: missing in a keyed class")
 	}
+	if err := c.keys.check(&r); err != nil {
+		return 0, err
+	}
 	c.Begin(now, 0, false)
 	c.lastID++
 	q := &request{Request: r, id: c.lastID}
@@ -419,10 +422,13 @@
 	}
 }
 
-// passOn lets a waiting try run in the place of one whose caller had left before it started: nothing has run,
-// and the module counts one run for both.
+// passOn lets a waiting try run in the place of one that was not started, as its caller had left or as the runner
+// does not take it: nothing has run, and the module counts one run for both.
 func (c *Core) passOn(r *request, end End) bool {
-	if end != Unneeded || len(r.key.waiters) == 0 {
+	if len(r.key.waiters) > 0 && r.key.waiters[0].RunID == r.RunID {
+		c.finish(r.key.waiters[0], end, nil) // it was passed on to this one before, and not started either
+	}
+	if len(r.key.waiters) == 0 {
 		return false
 	}
 	w := r.key.waiters[0]
@@ -446,6 +452,8 @@
 	case Errored:
 		c.answer(r, Answer{Status: Failed, Reason: "the run failed"})
 	case Rejected:
+		// No sign of a machine that fails: guards the health against callers that make requests up.
+		outcome = control.OutcomeCancelled
 		c.answer(r, Answer{Status: Failed, Reason: "the runner does not take it"})
 	case Stopped:
 		outcome = control.OutcomeCancelled
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -23,8 +23,13 @@
 )
 
 const (
-	maxUnsent   = 1 << 20 // bytes that a slow reader may leave unread
-	keepBuffer  = 64 << 10
+	// Bytes that a slow reader may leave unread: all answers that the open requests of a connection can get, twice.
+	maxUnsent = 256 << 10
+	// Bytes that may wait to be taken: all open requests of a connection fit several times over.
+	maxUntaken  = 256 << 10
+	strangerMax = 1500 * micro.Millisecond // until something valid must have come
+	busyLately  = 200 * micro.Millisecond  // not closed to make room: a request may be on its way
+	keepBuffer  = 4 << 10                  // of an empty buffer; an ordinary request and its answer fit
 	readBuffer  = 64 << 10
 	dialTimeout = time.Second
 	redialFirst = 20 * time.Millisecond
@@ -38,6 +43,8 @@
 	Receive(in []byte) (int, error)
 	// Closed says that the connection has ended; nothing is read or written any more.
 	Closed()
+	// Idle says that nothing is owed to the peer, so that the connection may be closed to make room.
+	Idle() bool
 }
 
 // Link is what a session may do with its connection.
@@ -45,6 +52,7 @@
 	Write(p []byte) // sends p at the end of the turn
 	Close()         // ends the connection at the end of the turn, after what was written
 	Resume()        // has Receive called again with what it left, in a turn to come
+	Vouch()         // the peer has sent something valid: it is no stranger any more
 	Remote() string // names the peer
 }
 
@@ -65,7 +73,8 @@
 type Options struct {
 	Listen    []string // addresses, in the order of Handler.Accept's index
 	Datagrams string   // the peer of Send; empty: none
-	MaxConns  int      // accepted connections beyond this are closed at once
+	MaxConns  int      // accepted connections beyond this must be made room for
+	Buffers   int      // bytes that all connections together may have waiting; 0: no bound
 	Clock     Clock
 	Logf      func(format string, args ...any)
 }
@@ -84,12 +93,15 @@
 	timer   *time.Timer
 	armed   micro.Time
 	addrs   []*net.TCPAddr
-	conns   int
-	udp     net.Conn
-	ended   atomic.Bool
-	up      chan struct{}
-	done    chan error
-	ticked  bool // of gnet's ticker alone
+	conns   map[*Conn]struct{} // accepted
+	// Accepted connections that had sent nothing valid when they were last looked at, oldest first.
+	strangers []*Conn
+	waiting   int // bytes in the buffers of all connections
+	udp       net.Conn
+	ended     atomic.Bool
+	up        chan struct{}
+	done      chan error
+	ticked    bool // of gnet's ticker alone
 }
 
 // Conn is one connection, accepted or dialled. It has one buffer for what is read and not yet taken.
@@ -102,11 +114,15 @@
 	closing  bool // closed at the end of the turn, after what is unsent
 	closed   bool
 	accepted bool
+	vouched  bool
+	since    micro.Time // it was accepted
+	active   micro.Time // it last sent something, or was written to
+	counted  int        // its share of the loop's waiting bytes
 }
 
 // Start opens the listeners and runs the loop; begin comes first on it, before any session.
 func Start(opts Options, h Handler, begin func(*Loop)) (*Loop, error) {
-	l := &Loop{opts: opts, handler: h, begin: begin, armed: micro.Never, up: make(chan struct{}), done: make(chan error, 1)}
+	l := &Loop{opts: opts, handler: h, begin: begin, armed: micro.Never, conns: map[*Conn]struct{}{}, up: make(chan struct{}), done: make(chan error, 1)}
 	l.timer = time.AfterFunc(time.Hour, l.wake)
 	l.timer.Stop()
 	if err := l.Datagrams(opts.Datagrams); err != nil {
@@ -208,7 +224,7 @@
 
 func (l *Loop) endTurn() {
 	l.pending = false
-	next := l.handler.Turn(l.now)
+	next := min(l.handler.Turn(l.now), l.dismiss())
 	for i := 0; i < len(l.dirty); i++ { // a failed write may close a connection, and its session write to another
 		l.dirty[i].flush()
 	}
@@ -289,12 +305,13 @@
 		return nil, gnet.None
 	}
 	// Guards against running out of descriptors, upon which gnet gives up listening altogether.
-	if l.conns >= l.opts.MaxConns {
-		l.opts.Logf("transport: %s turned away: %d connections are open", gc.RemoteAddr(), l.conns)
+	if len(l.conns) >= l.opts.MaxConns && !l.makeRoom() {
+		l.opts.Logf("transport: %s turned away: %d connections are open, all in use", gc.RemoteAddr(), len(l.conns))
 		return nil, gnet.Close
 	}
-	l.conns++
-	c := &Conn{loop: l, gc: gc, accepted: true}
+	c := &Conn{loop: l, gc: gc, accepted: true, since: l.now, active: l.now}
+	l.conns[c] = struct{}{}
+	l.strangers = append(l.strangers, c)
 	gc.SetContext(c)
 	c.session = l.handler.Accept(l.listenerOf(gc), c)
 	return nil, gnet.None
@@ -324,10 +341,17 @@
 	if err != nil || c.closing {
 		return gnet.None
 	}
+	c.active = l.now
+	// Guards the memory against a peer that sends faster than its session takes.
+	if len(c.buf)+len(in) > maxUntaken {
+		l.opts.Logf("transport: %s closed: over %d bytes wait to be taken", c.Remote(), maxUntaken)
+		return gnet.Close
+	}
 	c.buf = append(c.buf, in...)
 	if err := c.deliver(); err != nil {
 		return gnet.Close
 	}
+	c.count()
 	return gnet.None
 }
 
@@ -374,9 +398,8 @@
 	}
 	l.touch()
 	c.closed, c.buf, c.out = true, nil, nil
-	if c.accepted {
-		l.conns--
-	}
+	c.count()
+	delete(l.conns, c)
 	c.session.Closed()
 	return gnet.None
 }
@@ -386,6 +409,7 @@
 	if c.closed || c.closing {
 		return
 	}
+	c.active = c.loop.now
 	c.mark()
 	// Guards the memory within a turn, as flush does over turns: a peer may ask for a lot at once.
 	if len(c.out)+len(p) > maxUnsent {
@@ -430,12 +454,83 @@
 			c.loop.opts.Logf("transport: %s closed: %d bytes are unread", c.gc.RemoteAddr(), n)
 			c.closing = true
 		}
+		c.count()
 	}
 	if c.closing {
 		_ = c.loop.el.Close(c.gc)
 	}
 }
 
+// Vouch is part of Link.
+func (c *Conn) Vouch() { c.vouched = true }
+
+// dismiss closes the strangers whose time is up; it returns when that of the next one is. Guards the places of the
+// proxies against whoever connects and says nothing, or nothing that makes sense, or half of it.
+func (l *Loop) dismiss() micro.Time {
+	for len(l.strangers) > 0 {
+		c := l.strangers[0]
+		if !c.closed && !c.vouched {
+			if l.now < c.since+strangerMax {
+				return c.since + strangerMax
+			}
+			l.opts.Logf("transport: %s closed: nothing valid has come", c.Remote())
+			c.Close()
+		}
+		l.strangers = l.strangers[1:]
+	}
+	l.strangers = nil
+	return micro.Never
+}
+
+// makeRoom closes one accepted connection: the oldest stranger, or else the one that has been idle the longest.
+func (l *Loop) makeRoom() bool {
+	var last *Conn
+	for _, c := range l.strangers {
+		if !c.closed && !c.vouched {
+			last = c
+			break
+		}
+	}
+	if last == nil {
+		for c := range l.conns {
+			if c.session.Idle() && c.active+busyLately <= l.now && (last == nil || c.active < last.active) {
+				last = c
+			}
+		}
+	}
+	if last == nil {
+		return false
+	}
+	l.opts.Logf("transport: %s closed to make room: %d connections are open", last.Remote(), len(l.conns))
+	_ = l.el.Close(last.gc)
+	return true
+}
+
+// count keeps the sum of what waits in all buffers. Guards the memory of a small machine, which many connections
+// could exhaust with little each: whoever has the most waiting goes first.
+func (c *Conn) count() {
+	l, n := c.loop, cap(c.buf)+cap(c.out)
+	if !c.closed {
+		n += c.gc.OutboundBuffered()
+	}
+	l.waiting += n - c.counted
+	c.counted = n
+	if l.opts.Buffers == 0 || l.waiting <= l.opts.Buffers || c.closed {
+		return
+	}
+	most := c
+	for o := range l.conns {
+		if !o.closing && o.counted > most.counted {
+			most = o
+		}
+	}
+	if most.accepted && !most.closing {
+		l.opts.Logf("transport: %s closed: it has %d of %d bytes that wait in all buffers", most.Remote(), most.counted, l.waiting)
+		most.out = nil
+		most.Close()
+	}
+}
+
 // Remote is part of Link.
 func (c *Conn) Remote() string {
 	if a := c.gc.RemoteAddr(); a != nil {
@@ -487,6 +582,9 @@
 // Closed is part of Session.
 func (k *dialled) Closed() {}
 
+// Idle is part of Session. No room is made of what we dialled.
+func (k *dialled) Idle() bool { return false }
+
 // Datagrams sets the peer of Send; empty: none. On an error the one before stays.
 func (l *Loop) Datagrams(addr string) error {
 	var c net.Conn
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"os"
+	"sync/atomic"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -23,21 +24,50 @@
 type echoSession struct {
 	e    *echo
 	link Link
+	idle bool
 }
 
-func (e *echo) Accept(_ int, l Link) Session { return &echoSession{e, l} }
+func (e *echo) Accept(_ int, l Link) Session { return &echoSession{e: e, link: l} }
 func (e *echo) Turn(micro.Time) micro.Time   { return micro.Never }
 func (s *echoSession) Closed()               { s.e.closed <- s.link.Remote() }
+func (s *echoSession) Idle() bool            { return s.idle }
 func (s *echoSession) Receive(in []byte) (int, error) {
-	for range in {
+	for i, b := range in {
+		switch b {
+		case 'v':
+			s.link.Vouch()
+		case 'i':
+			s.idle = true
+		case 'h': // half a message: it waits for the rest
+			s.link.Write(s.e.answer)
+			return i, nil
+		}
 		s.link.Write(s.e.answer)
 	}
 	return len(in), nil
 }
 
+// handClock stands still until a test moves it.
+type handClock struct{ now atomic.Int64 }
+
+func (c *handClock) Now() micro.Time { return micro.Time(c.now.Load()) }
+
+// move sets the clock forward and has the loop take a turn.
+func (c *handClock) move(t *testing.T, l *Loop, by micro.Time) {
+	c.now.Add(int64(by))
+	done := make(chan struct{})
+	require.NoError(t, l.Execute(func() { close(done) }))
+	<-done
+}
+
 func start(t *testing.T, e *echo, most int) *Loop {
+	return startWith(t, e, Options{MaxConns: most, Clock: micro.NewClock()})
+}
+
+func startWith(t *testing.T, e *echo, o Options) *Loop {
 	e.closed, e.dials = make(chan string, 100), make(chan *echoSession, 100)
-	l, err := Start(Options{Listen: []string{"127.0.0.1:0"}, MaxConns: most, Clock: micro.NewClock(), Logf: t.Logf}, e, func(*Loop) {})
+	o.Listen, o.Logf = []string{"127.0.0.1:0"}, t.Logf
+	l, err := Start(o, e, func(*Loop) {})
 	require.NoError(t, err)
 	t.Cleanup(func() {
 		l.Stop()
@@ -53,8 +83,10 @@
 	return c
 }
 
-func works(t *testing.T, c net.Conn, want []byte) {
-	_, err := c.Write([]byte("x"))
+func works(t *testing.T, c net.Conn, want []byte) { says(t, c, "x", want) }
+
+func says(t *testing.T, c net.Conn, what string, want []byte) {
+	_, err := c.Write([]byte(what))
 	require.NoError(t, err)
 	got := make([]byte, len(want))
 	_, err = io.ReadFull(c, got)
@@ -120,22 +152,99 @@
 	works(t, other, e.answer)
 }
 
-// Guards the descriptors: a connection too many is closed at once, and the others go on. gnet would stop
-// listening for good if the system had to refuse it one.
+func isClosed(t *testing.T, c net.Conn) {
+	_, err := c.Read(make([]byte, 1))
+	require.ErrorIs(t, err, io.EOF)
+}
+
+// Guards the descriptors: a connection too many is closed at once where all others are in use, and they go on.
+// gnet would stop listening for good if the system had to refuse it one.
 func TestConnectionsAreBounded(t *testing.T) {
 	e := &echo{answer: []byte("r")}
 	l := start(t, e, 2)
 	one, two := connect(t, l), connect(t, l)
-	works(t, one, e.answer)
-	works(t, two, e.answer)
-	_, err := connect(t, l).Read(make([]byte, 1))
-	require.ErrorIs(t, err, io.EOF)
+	says(t, one, "v", e.answer)
+	says(t, two, "v", e.answer)
+	isClosed(t, connect(t, l))
 	works(t, one, e.answer)
 	one.Close()
 	<-e.closed
 	works(t, connect(t, l), e.answer)
 }
 
+// Guards the proxies' places against strangers: whoever has sent nothing valid, or half a message, is closed when
+// its time is up, and whoever has stays, however quiet.
+func TestStrangersGo(t *testing.T) {
+	e, clock := &echo{answer: []byte("r")}, &handClock{}
+	l := startWith(t, e, Options{MaxConns: 9, Clock: clock})
+	proxy, silent := connect(t, l), connect(t, l)
+	says(t, proxy, "v", e.answer)
+	clock.move(t, l, strangerMax/2)
+	half := connect(t, l)
+	says(t, half, "h", e.answer)
+	clock.move(t, l, strangerMax/2)
+	require.Equal(t, silent.LocalAddr().String(), <-e.closed)
+	says(t, half, "h", e.answer) // trickles on
+	clock.move(t, l, strangerMax/2)
+	require.Equal(t, half.LocalAddr().String(), <-e.closed)
+	clock.move(t, l, 100*strangerMax)
+	works(t, proxy, e.answer)
+}
+
+// At the limit the oldest stranger makes room, then the connection that has been idle the longest; a connection
+// with something open never does.
+func TestMakeRoom(t *testing.T) {
+	e, clock := &echo{answer: []byte("r")}, &handClock{}
+	l := startWith(t, e, Options{MaxConns: 4, Clock: clock})
+	busy, idle, kept, stranger := connect(t, l), connect(t, l), connect(t, l), connect(t, l)
+	says(t, busy, "v", e.answer)
+	says(t, idle, "vi", []byte("rr"))
+	says(t, stranger, "x", e.answer)
+	clock.move(t, l, busyLately)
+	says(t, kept, "vi", []byte("rr"))
+	clock.move(t, l, busyLately)
+	for _, next := range []net.Conn{stranger, idle, kept} {
+		c := connect(t, l)
+		says(t, c, "v", e.answer)
+		require.Equal(t, next.LocalAddr().String(), <-e.closed)
+	}
+	isClosed(t, connect(t, l))
+	works(t, busy, e.answer)
+}
+
+// Guards the memory of a small machine: where all buffers together hold too much, whoever has the most waiting
+// goes first, and the others are served.
+func TestBuffersAreBoundedTogether(t *testing.T) {
+	e := &echo{answer: []byte("r")}
+	l := startWith(t, e, Options{MaxConns: 99, Buffers: 128 << 10, Clock: &handClock{}})
+	other := connect(t, l)
+	works(t, other, e.answer)
+	hoards := map[string]bool{}
+	for range 3 {
+		c := connect(t, l)
+		hoards[c.LocalAddr().String()] = true
+		_, err := c.Write(bytes.Repeat([]byte("h"), 60<<10)) // each within its own bound
+		require.NoError(t, err)
+	}
+	require.Contains(t, hoards, <-e.closed)
+	works(t, other, e.answer)
+}
+
+// Guards the memory against a peer that sends without end what is never taken.
+func TestUntakenInputIsBounded(t *testing.T) {
+	e := &echo{answer: []byte("r")}
+	l := start(t, e, 9)
+	c := connect(t, l)
+	for cut := false; !cut; {
+		_, _ = c.Write(bytes.Repeat([]byte("h"), 32<<10)) // fails once it is cut
+		select {
+		case <-e.closed:
+			cut = true
+		default:
+		}
+	}
+}
+
 // A link that is refused is dialled again until its peer listens.
 func TestDialUntilItOpens(t *testing.T) {
 	e := &echo{answer: []byte("r")}
@@ -147,7 +256,7 @@
 	addr := localAddr(fd).String()
 	require.NoError(t, l.Execute(func() {
 		l.Dial(addr, func(k Link) Session {
-			s := &echoSession{e, k}
+			s := &echoSession{e: e, link: k}
 			e.dials <- s
 			return s
 		})
@@ -180,7 +289,7 @@
 	require.NoError(t, l.Execute(func() {
 		drop := l.Dial(ln.Addr().String(), func(k Link) Session {
 			opened <- struct{}{}
-			return &echoSession{l.handler.(*echo), k}
+			return &echoSession{e: l.handler.(*echo), link: k}
 		})
 		peer, err = ln.Accept() // the loop is here, so the link cannot be open on it yet
 		drop()
