Cap log lines, report five times a second and keep a short doubt private

At fault: edge.go report(), which sampled the module's health at one moment of each half second, and thrift.go Probe, which told each doubt at once; log.Printf without a bound.

Now the core tells a doubt only once it has lasted a second, and the notice to drain at once; both reports and health checks go by it. Reports go five times a second. Each kind of log line has a rate, and what was left out is counted.

--- a/cmd/pewterline/main.go
+++ b/cmd/pewterline/main.go
@@ -44,8 +44,8 @@
 	signals := make(chan os.Signal, 8)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	defer signal.Stop(signals)
-	clock := micro.NewClock()
-	srv, err := edge.New(cfg, clock, log.Printf)
+	clock, logf := micro.NewClock(), newCapped().Logf
+	srv, err := edge.New(cfg, clock, logf)
 	if err != nil {
 		return err
 	}
@@ -64,7 +64,7 @@
 		}
 	}
 	opts := transport.Options{
-		Listen: []string{cfg.Listen}, Datagrams: cfg.Control, MaxConns: cfg.Sockets - spareSockets, Clock: clock, Logf: log.Printf,
+		Listen: []string{cfg.Listen}, Datagrams: cfg.Control, MaxConns: cfg.Sockets - spareSockets, Clock: clock, Logf: logf,
 		// The limit on memory counts what the kernel holds of the sockets too; this leaves it as much again.
 		Buffers: int(cfg.Memory / 8),
 	}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -14,7 +14,9 @@
 )
 
 const (
-	reportEvery = 500 * micro.Millisecond // six reports fit before an entry lapses
+	// Fifteen reports fit before an entry lapses: a quarter of them may be lost, and a lost NotReady of a drain
+	// costs no more than this.
+	reportEvery = 200 * micro.Millisecond
 	sweepEvery  = 250 * micro.Millisecond // looks for idle connections
 	stopLead    = 100 * micro.Millisecond // we are gone this long before the process would be stopped
 	lingerMost  = 2 * micro.Second        // for the peer of a connection that was told farewell
@@ -128,9 +130,7 @@
 		return micro.Never
 	}
 	s.core.Step(now)
-	// Guards the server list against a doubt of a moment: callers see a change a second or two late, and would
-	// stay away for as long. Only the notice to leave is told at once.
-	if now >= s.nextReport || s.draining && s.reported {
+	if now >= s.nextReport || s.core.Health() != s.reported {
 		s.report(now)
 	}
 	if now >= s.nextSweep {
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -119,6 +119,7 @@
 	drained bool
 
 	good      bool
+	badSince  micro.Time // where it is not good
 	say       float64
 	saying    bool
 	idleAfter micro.Time
@@ -165,8 +166,12 @@
 	}
 }
 
-// Health is the answer to health checks and reports.
-func (c *Core) Health() bool { return c.good }
+// doubtMost is how long the module may take its machine for sick before callers hear of it.
+const doubtMost = micro.Second
+
+// Health is the answer to health checks and reports. Guards the server list against a doubt of a moment: callers
+// see a change a second or two late, and would stay away for as long. The notice to leave is told at once.
+func (c *Core) Health() bool { return c.good || !c.drained && c.now < c.badSince+doubtMost }
 
 // Say is the free value; false while none was set.
 func (c *Core) Say() (float64, bool) { return c.say, c.saying }
@@ -311,6 +316,9 @@
 		case control.Reuse:
 			c.reuse(c.live[a.ID])
 		case control.Health:
+			if c.good && !a.Good {
+				c.badSince = now
+			}
 			c.good = a.Good
 		case control.Signal:
 			c.say, c.saying = a.Value, true
