Let the level fall twice as fast as it rises, and see a hang later

At fault: control.go, floorDown (0.05 a half second: from 0.67 back to 0 takes 6.7 s) and hungRuns (12 mean services, 2% by chance where all slows three times).

--- a/control/control.go
+++ b/control/control.go
@@ -48,13 +48,13 @@
 	callPause, callTries  = 50 * time.Millisecond, 3 // before the next try, doubled each time; of a safe call
 	answerLead            = 10 * time.Millisecond    // answers go out this long before they are due
 	errBad, errRuns       = 0.3, 3.0                 // worse than refusals; errors needed to tell
-	hungRuns              = 12.0                     // mean services of slot time without progress: chance e^-12
+	hungRuns              = 24.0                     // mean services of slot time without progress: e^-24
 	sayEvery              = 500 * time.Millisecond   // half the time that callers usually keep a value
 	shedFew, shedHalf     = 0.02, 0.5                // turned away: no overload; others are full too
 	ageLate               = 1.0 / 8                  // of the aim: reading is what is short
 	weightDown, weightUp  = 0.7, 1.15                // a second of overload halves it; no wave of returns
 	weightMin             = 0.01                     // chance that a caller still tries
-	floorUp, floorDown    = 0.1, 0.05                // of the ranks: up fast, back with care
+	floorUp, floorDown    = 0.1, 0.2                 // of the ranks: a level kept too long leaves cores idle
 	connWorth, gapFade    = 12.0, 0.9                // seconds idle that cost a handshake; of the gaps, a refit
 	keepMin               = 100 * time.Millisecond   // shortest life of an idle connection
 )
--- a/control/guards_test.go
+++ b/control/guards_test.go
@@ -133,6 +133,45 @@
 	}
 }
 
+// Guards against a machine taken for hung as it slows down: its callers would all go elsewhere, and its keyed work
+// be turned away. Two runs that take eight times the mean each are no hang; one without end is.
+func TestSlowIsNotHung(t *testing.T) {
+	c := testController(t, nil)
+	c.Step(0, []Event{Arrive{ID: 1, HeldKB: 1}, Arrive{ID: 2, HeldKB: 1}})
+	mean := seconds(c.slotTime.v)
+	for c.now < 8*mean {
+		c.Step(c.now+tick, []Event{Tick{}})
+	}
+	if c.sick != "" || c.n[running] != 2 {
+		t.Errorf("%q with %d running after 16 mean services of slot time", c.sick, c.n[running])
+	}
+	for c.now < 20*mean {
+		c.Step(c.now+tick, []Event{Tick{}})
+	}
+	if c.sick != "hung" {
+		t.Error("a machine that gets nowhere is not seen")
+	}
+}
+
+// Guards against a level that outlasts its overload: callers would still hold back what the idle cores could run.
+// What two seconds of shedding raised, one second without any takes back.
+func TestLevelIsSoonTakenBack(t *testing.T) {
+	c := testController(t, func(s *Settings) { s.Signal = SignalFloor })
+	for now := time.Duration(0); now <= 2*time.Second; now += tick {
+		c.readNow, c.shedNow = 10, 5
+		c.Step(now, []Event{Tick{}})
+	}
+	if c.said < 0.3 {
+		t.Fatalf("level %v after two seconds of shedding", c.said)
+	}
+	for end := c.now + time.Second; c.now < end; {
+		c.Step(c.now+tick, []Event{Tick{}})
+	}
+	if c.said > 0.2 {
+		t.Errorf("level %v a second later", c.said)
+	}
+}
+
 // A repeat that names a repeat read in the same batch joins the run too.
 func TestRepeatOfARepeat(t *testing.T) {
 	c := testController(t, nil)
