--- a/control/control.go
+++ b/control/control.go
@@ -525,8 +525,8 @@
 	}
 }
 
-// meter tells whether r is beyond its tenant's share of this server. Shares are counted over the fleet, of which
-// a server sees its part: what is over counts less where work must be turned away, and is served otherwise.
+// meter tells whether r is beyond its tenant's share of this server, a part of that counted over the fleet.
+// What is over counts less where work must be turned away, and is served otherwise.
 func (c *Controller) meter(r *request) {
 	if r.Tenant < 0 || r.Tenant >= len(c.tokens) || c.s.OverShare >= 1 || c.s.Tenants[r.Tenant].Quota <= 0 {
 		return
