Let an AJP head with a body to come count as valid, and test who is vouched for

Seen in reading: transport closes a peer that has sent nothing valid after 1.5 s, but edge/ajp.go vouched for an AJP caller only once its whole body was there, so a body within body_timeout_ms (2 s as it ships) could be cut without its 408. Now the head is what counts, with the right secret, and the body's own time guards the rest.

A reload now names the keys that changed and hold until a restart. Tests: who is vouched for, by either front, and a turn's work for one connection.

--- a/internal/edge/ajp.go
+++ b/internal/edge/ajp.go
@@ -152,9 +152,11 @@
 	case a.req.Length > int64(cfg.MaxBody):
 		a.refuse(413, fmt.Sprintf("a body of %d bytes is over %d", a.req.Length, cfg.MaxBody))
 	case a.req.Length > 0:
+		a.conn.Vouch() // from here on the time for the body guards the connection
 		// The first packet of the body comes unasked.
 		a.phase, a.due = awaitBody, a.at+cfg.BodyTimeout
 	case a.req.Chunked():
+		a.conn.Vouch()
 		a.phase, a.due = awaitBody, a.at+cfg.BodyTimeout
 		a.write(ajp.AppendGetBody(a.out[:0], cfg.MaxBody+1))
 	default:
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -112,6 +112,17 @@
 		s.pool.dial()
 	}
 	s.cfg.Stop = next.Stop
+	for _, k := range []struct {
+		key     string
+		changed bool
+	}{
+		{"name", next.Name != s.cfg.Name}, {"listen", next.Listen != s.cfg.Listen},
+		{"limits.memory_mb", next.Memory != s.cfg.Memory}, {"limits.sockets", next.Sockets != s.cfg.Sockets},
+	} {
+		if k.changed {
+			s.logf("edge: configuration read anew: %s holds until a restart", k.key)
+		}
+	}
 	s.logf("edge: configuration read anew: pool %s, control %s", s.cfg.Pool, s.cfg.Control)
 	return nil
 }
--- a/internal/edge/play_test.go
+++ b/internal/edge/play_test.go
@@ -14,6 +14,8 @@
 
 	"pewterline/internal/config"
 	"pewterline/internal/micro"
+	"pewterline/internal/protocol/ajp"
+	"pewterline/internal/protocol/thrift"
 	"pewterline/internal/transport"
 	"pewterline/internal/wire"
 )
@@ -283,3 +285,47 @@
 		})
 	}
 }
+
+// Guards the places of the proxies: only what makes sense makes a peer known to transport, which closes strangers.
+func TestOnlyTheValidIsVouchedFor(t *testing.T) {
+	process := func(class string) string {
+		frame := thrift.AppendCall(nil, 1, []thrift.Field{{Name: "class", Value: class}, {Name: "id", Value: "00000000000000a1"},
+			{Name: "at", Value: "1000"}, {Name: "from", Value: "4"}, {Name: "tenant", Value: "hill-estate"}, {Name: "kb", Value: "9"},
+			{Name: "rank", Value: "0.1"}}, nil)
+		return string(frame)
+	}
+	probe := "\x00\x00\x00\x16\x80\x01\x00\x01\x00\x00\x00\x05probe\x00\x00\x00\x01\x02\x00\x01\x00\x00"
+	giveUp := "\x00\x00\x00\x1a\x80\x01\x00\x04\x00\x00\x00\x06giveUp\x00\x00\x00\x02\x08\x00\x01\x00\x00\x00\x07\x00"
+	head := func(secret string) string {
+		return string(ajp.AppendForward(nil, ajp.Request{Method: "POST", URI: "/block-view", RemoteAddr: "127.0.0.1", Secret: secret,
+			Headers: []ajp.Header{{Name: "content-length", Value: "40"}}}))
+	}
+	for _, c := range []struct {
+		listener int
+		sent     string
+		vouched  bool
+	}{
+		{0, process("block-view"), true}, {0, process("no-such"), false}, {0, process("block-view")[:60], false},
+		{0, probe, true}, {0, giveUp, false}, {0, "\x00\x00\x00\x02hi", false},
+		{1, head("vine"), true}, {1, head("wine"), false}, {1, "\x12\x34\x00\x01\x0a", true}, {1, "\x12\x34\x00", false},
+	} {
+		s := newStage(t, config.AJP{Secret: "vine", BodyTimeout: micro.Second, MaxBody: 100, MaxConns: 9})
+		l := s.connect("c", c.listener)
+		s.deliver(l, []byte(c.sent))
+		require.Equal(t, c.vouched, l.vouched, "%d %q", c.listener, c.sent)
+	}
+}
+
+// Guards the others' share of a turn: what one connection pipelines beyond the bound waits for the next turns.
+func TestTurnsWorkIsBounded(t *testing.T) {
+	s := newStage(t, config.AJP{})
+	l := s.connect("c", 0)
+	probe := "\x00\x00\x00\x16\x80\x01\x00\x01\x00\x00\x00\x05probe\x00\x00\x00\x01\x02\x00\x01\x00\x00"
+	const sent = 2*turnsWork + 1
+	s.deliver(l, []byte(strings.Repeat(probe, sent)))
+	answer := len(l.out) / turnsWork
+	require.Equal(t, (sent-turnsWork)*len(probe), len(l.in), "left for later")
+	s.turn()
+	require.Empty(t, l.in)
+	require.Equal(t, sent*answer, len(l.out))
+}
