Count who is turned away as disengaged, so that worth keeps its lane in overload

At fault in control.go: fit(), which judges a class by the latencies of what completed. And alphaMin, from which alpha needs 13 s to climb back, longer than most troubles last.

Now the share turned away, of the last thousand outcomes and within the tenant's share, is added to U where alpha is decided, and alpha stays at 0.5 or over.

--- a/control/control.go
+++ b/control/control.go
@@ -25,7 +25,7 @@
 	precision, curveSteps = 1.0 / 4096, 64           // of the deadline; in the sum: error under zeta..theta
 	refit                 = time.Second              // budgets follow a change of load within seconds
 	alphaDown, alphaUp    = 0.05, 0.25               // gamma, beta: alpha falls by a step, grows by a share
-	alphaMin, alphaMax    = 0.05, 0.95               // neither lane is ever shut
+	alphaMin, alphaMax    = 0.5, 0.95                // neither lane is ever shut
 	cvMin, cvMax          = 0.1, 3.0                 // less is chance, more is outliers
 	budgetMin             = 1.0 / 8                  // of the aim: left when S outgrows M; aims keep order
 	priorShare, priorRuns = 1.0 / 8, 4.0             // of the aim: service assumed; completions it weighs
@@ -92,6 +92,7 @@
 	lat           []float64  // latencies of the last completions, seconds
 	service, slot mean       // start to end; of that, on the cores or at the disk; seconds
 	hint, calls   mean       // the hint, seconds; calls a request
+	away          mean       // turned away for want of time, of its last outcomes
 	cv, u         float64
 	budget        time.Duration // Q
 }
@@ -184,7 +185,7 @@
 		guess := mean{priorRuns, k.Aim.Seconds() * priorShare}
 		// Where all classes tie there is no lowest: none is best effort.
 		c.classes = append(c.classes, &class{Class: k, best: k.Worth == low && low < high, cv: 1,
-			service: guess, slot: guess, calls: mean{priorRuns, 1}, budget: k.Aim})
+			service: guess, slot: guess, calls: mean{priorRuns, 1}, away: mean{fitPrior, 0}, budget: k.Aim})
 		c.slotTime.add(guess.v)
 	}
 	return c, nil
@@ -318,7 +319,10 @@
 		// Departure: S may outgrow M, and a budget under zero would order by service time alone.
 		k.budget = max(m-seconds(k.service.v), seconds(budgetMin*k.Aim.Seconds()))
 		if !k.best {
-			worst, least = math.Max(worst, k.u/target), math.Min(least, k.u/target)
+			// Departure: who is turned away is disengaged too. Latencies alone tell nothing of them, and the more
+			// of a class were given up, the more of its slots went to best effort.
+			u := k.u + k.away.v
+			worst, least = math.Max(worst, u/target), math.Min(least, u/target)
 			cvSum, n = cvSum+math.Max(k.cv, cvMin), n+1
 			sure = math.Min(sure, float64(len(k.lat))/window)
 		}
@@ -653,6 +657,9 @@
 // use, or would meet only full servers or add to late reading, should not be tried elsewhere.
 func (c *Controller) refuse(r *request, last bool) {
 	c.shed, c.shedNow = c.shed+1, c.shedNow+1
+	if !r.over && !c.drained && c.sick == "" {
+		c.classes[r.Class].away.add(1)
+	}
 	deep := math.Min(c.shed/math.Max(c.read, 1), 1)
 	fleet := deep // how full the others are
 	if c.s.MarksRetries {
@@ -685,6 +692,7 @@
 	}
 	k := c.classes[r.Class]
 	c.runs++
+	k.away.add(0)
 	c.yield += c.slotOf(r)
 	c.epochWork += c.slotOf(r)
 	k.slot.add(r.slotTime.Seconds())
--- a/control/mechanism_test.go
+++ b/control/mechanism_test.go
@@ -113,6 +113,19 @@
 	if want := before * (1 + alphaUp/10); math.Abs(c.alpha-want) > 1e-9 {
 		t.Errorf("alpha %v after a missed target, want %v", c.alpha, want)
 	}
+	// Who is turned away has missed the target, however good the latencies of the others are.
+	for i := range k.lat {
+		k.lat[i] = 0.1 + 0.1*float64(i%2)
+	}
+	c.alpha, before = 0.6, 0.6
+	for id := ID(1); id <= 4; id++ {
+		c.take(Arrive{ID: id, Class: 1, HeldKB: 1})
+		c.refuse(c.live[id], false)
+	}
+	c.fit()
+	if want := before * (1 + alphaUp/10); math.Abs(c.alpha-want) > 1e-9 {
+		t.Errorf("alpha %v after four were turned away, want %v", c.alpha, want)
+	}
 }
 
 // Where all classes tie none is best effort: a single lane by due time.
