Tell callers of a machine of no use, and leave made-up requests out of the counts

Of eight callers three, the heaviest among them, heed neither level nor advice and count what is open: the one of 52 a second sent 105 to the server that refused so fast. Bursts of some 190 made-up requests each other second were counted as read: shed over read was 0.15 where it was 0.95, and a tenant's share was spent on them. On n1 intakes were given up although they were first in line: their slot had been learned in the slow spell (0.09 to 0.17 s) and was multiplied by the pace of it again.

At fault: diagnose(), which knew only hangs and errors; the Rejected of routing.finish, told to the module as a cancelled run; done(), which learned slot times at the pace of the moment. Now a server that turns away over 0.6 of its worthiest class is not healthy and shuts its level, until that evidence has faded; made-up requests end as turned away unseen and are taken back from the counts, and use is judged by what has ended, as such a burst counts before it is known for what it is (health flipped to good amid one at 7.4 s); slots are learned at the usual pace; and a doubt is told after 0.25 s, as hangs that were none lasted 20 to 40 ms in the logs.

Holding refusals back is not an option.

--- a/control/control.go
+++ b/control/control.go
@@ -55,6 +55,9 @@
 	ageLate               = 1.0 / 8                  // of the aim: reading is what is short
 	weightDown, weightUp  = 0.7, 1.15                // a second of overload halves it; no wave of returns
 	weightMin             = 0.01                     // chance that a caller still tries
+	goneSure, goneLeft    = 6.0, 3.0                 // turned away of late: enough to tell; and to keep to it
+	useless               = 0.6                      // of the worthiest work turned away: of no use
+	usualRuns             = 4000.0                   // completions behind the usual pace: outlasts a slow spell
 	floorUp, floorDown    = 0.1, 0.2                 // of the ranks: a level kept too long leaves cores idle
 	connWorth, gapFade    = 12.0, 0.9                // seconds idle that cost a handshake; of the gaps, a refit
 	keepMin               = 100 * time.Millisecond   // shortest life of an idle connection
@@ -93,6 +96,7 @@
 	service, slot mean       // start to end; of that, on the cores or at the disk; seconds
 	hint, calls   mean       // the hint, seconds; calls a request
 	away          mean       // turned away for want of time, of its last outcomes
+	seen, gone    float64    // ended by a run or turned away; turned away; fading twice as fast as others
 	cv, u         float64
 	budget        time.Duration // Q
 }
@@ -100,8 +104,10 @@
 // mean is a mean over about the last window values, starting from a guess.
 type mean struct{ n, v float64 }
 
-func (m *mean) add(x float64) {
-	m.n = math.Min(m.n+1, window)
+func (m *mean) add(x float64) { m.over(x, window) }
+
+func (m *mean) over(x, most float64) {
+	m.n = math.Min(m.n+1, most)
 	m.v += (x - m.v) / m.n
 }
 
@@ -139,6 +145,7 @@
 	errs, runs            float64
 	others                float64 // slot seconds a second that the classes above best effort ask for
 	pace, stuck, okayPace float64 // slot time spent over expected; since anything moved; pace then
+	usual                 mean    // pace, over many completions
 	callTime, slotTime    mean    // seconds a call, and slot seconds a request of any class
 	lingers               []time.Duration
 
@@ -151,6 +158,7 @@
 	share, callStock       float64 // of calls in hand, infinite where none is stated; call seconds to spend
 	drainAt, stop, nextSay time.Duration
 	sick                   string  // why health is off
+	useless                bool    // it is off, as even the worthiest work is turned away
 	said, shedNow, readNow float64 // the value, and turned away and read since
 }
 
@@ -221,6 +229,9 @@
 		&c.errs, &c.runs, &c.others} {
 		*x *= fade
 	}
+	for _, k := range c.classes { // twice as fast: callers hear of it late enough
+		k.seen, k.gone = k.seen*fade*fade, k.gone*fade*fade
+	}
 	ran := dt * float64(c.n[running])
 	c.spent, c.stuck = c.spent+ran, c.stuck+ran
 	c.callSpent += dt * float64(c.inHand())
@@ -657,6 +668,7 @@
 // use, or would meet only full servers or add to late reading, should not be tried elsewhere.
 func (c *Controller) refuse(r *request, last bool) {
 	c.shed, c.shedNow = c.shed+1, c.shedNow+1
+	c.classes[r.Class].seen, c.classes[r.Class].gone = c.classes[r.Class].seen+1, c.classes[r.Class].gone+1
 	if !r.over && !c.drained && c.sick == "" {
 		c.classes[r.Class].away.add(1)
 	}
@@ -682,6 +694,9 @@
 	}
 	was := r.state
 	c.drop(r)
+	if e.Outcome == OutcomeFull {
+		c.void(r)
+	}
 	// What was joined, or failed by ourselves, says nothing of the machine.
 	if e.Outcome == OutcomeError && !r.answered && was != joined {
 		c.runs++
@@ -693,10 +708,15 @@
 	k := c.classes[r.Class]
 	c.runs++
 	k.away.add(0)
+	k.seen++
 	c.yield += c.slotOf(r)
 	c.epochWork += c.slotOf(r)
-	k.slot.add(r.slotTime.Seconds())
-	c.slotTime.add(r.slotTime.Seconds())
+	// At the usual pace: a slow spell would else count twice, in the slots that it made longer and in the
+	// pace, and most for the class that is served best.
+	c.usual.over(c.pace, usualRuns)
+	slot := r.slotTime.Seconds() * c.usual.v / c.pace
+	k.slot.add(slot)
+	c.slotTime.add(slot)
 	k.calls.add(r.calls)
 	k.service.add((c.now - r.started).Seconds())
 	if !r.answered {
@@ -705,6 +725,21 @@
 	}
 }
 
+// void takes back what the arrival of r counted: the host could not run it, as nobody had asked for it.
+// Guards against callers that make requests up in bursts: amid them a server that turned away nearly all that
+// was real took itself for one with room, and the shares of the tenants they were sent for were spent.
+func (c *Controller) void(r *request) {
+	c.read, c.readNow = math.Max(c.read-1, 0), math.Max(c.readNow-1, 0)
+	if r.Retry {
+		c.again = math.Max(c.again-1, 0)
+	} else if r.Tenant >= 0 && r.Tenant < len(c.tokens) && !r.over {
+		c.tokens[r.Tenant]++
+	}
+	if k := c.classes[r.Class]; !k.best && r.Original == 0 {
+		c.others = math.Max(c.others-c.slotOf(r)/fadeTime.Seconds(), 0)
+	}
+}
+
 // release lets go of what is answered or whose caller left: what never ran ends, safe runs stop where they
 // can. Keyed work goes on: a repeat joins it.
 func (c *Controller) release(r *request) {
@@ -912,21 +947,28 @@
 
 // ---- Health and signals.
 
-// diagnose tells callers of a machine that hangs or fails; the evidence fades, so that it is taken back.
+// diagnose tells callers of a machine that hangs or fails, or cannot do even its worthiest work in time: it
+// turns that away at once, which draws callers that count what is open, more than they sent before. The
+// evidence fades, so that it is taken back.
 func (c *Controller) diagnose() {
-	was := c.sick
+	was, wasGood := c.sick, c.sick == "" && !c.useless
 	c.sick = ""
 	if c.errs >= errRuns && c.errs > errBad*c.runs {
 		c.sick = "failing"
 	} else if c.n[running] > 0 && c.stuck > hungRuns*c.slotTime.v*c.okayPace {
 		c.sick = "hung"
 	}
-	if c.sick == was || c.drained {
-		return
+	top := slices.MaxFunc(c.classes, func(a, b *class) int { return cmp.Compare(a.Worth, b.Worth) })
+	sure := goneSure
+	if c.useless {
+		sure = goneLeft
+	}
+	c.useless = top.gone >= sure && top.gone > useless*top.seen
+	if good := c.sick == "" && !c.useless; !c.drained && (good != wasGood || c.sick != was) {
+		c.do(Health{Good: good, Stored: true})
+		c.do(Log{Text: fmt.Sprintf("health: %v, %q after %q, %.0f%% errors, pace %.1f, %.0f of %.0f turned away",
+			good, c.sick, was, 100*c.errs/math.Max(c.runs, 1), c.pace, top.gone, top.seen)})
 	}
-	c.do(Health{Good: c.sick == "", Stored: true})
-	c.do(Log{Text: fmt.Sprintf("health: %q after %q, %.0f%% errors, pace %.1f", c.sick, was,
-		100*c.errs/math.Max(c.runs, 1), c.pace)})
 }
 
 // signal sets the free value from the share of arrivals turned away, in small steps: callers hear it late.
@@ -948,7 +990,9 @@
 	case SignalWeight: // never zero: a caller that never comes never hears better
 		v = clamp(v*pick(0, weightDown, weightUp), weightMin, 1)
 	case SignalFloor:
-		v = clamp(v+pick(1, floorUp, -floorDown), 0, pick(1, most, most))
+		if v = clamp(v+pick(1, floorUp, -floorDown), 0, pick(1, most, most)); c.useless {
+			v = 1
+		}
 	default: // what runs and as much again held, over the callers; less where that is too much
 		v = 2 * c.limit / math.Max(1, float64(c.s.Callers)) / pick(8, 4, 1)
 	}
--- a/control/guards_test.go
+++ b/control/guards_test.go
@@ -389,3 +389,83 @@
 		}
 	}
 }
+
+// Guards against callers that make requests up: what the host could not run, as nobody had asked for it, leaves no
+// trace in the counts by which a server judges its load, nor in the shares of the tenants that it was sent for.
+func TestMadeUpRequestsAreNotCounted(t *testing.T) {
+	c := testController(t, func(s *Settings) { s.Tenants, s.Peers, s.OverShare = []Tenant{{"hill", 10}}, 1, 0.05 })
+	c.Step(0, nil)
+	c.Step(time.Second, nil)
+	tokens, others := c.tokens[0], c.others
+	c.Step(c.now, []Event{Arrive{ID: 1, Class: 1, HeldKB: 1}, Arrive{ID: 2, HeldKB: 1, Retry: true}})
+	c.Step(c.now, []Event{Done{ID: 1, Outcome: OutcomeFull}, Done{ID: 2, Outcome: OutcomeFull}})
+	if c.read != 0 || c.readNow != 0 || c.again != 0 || c.classes[1].seen != 0 || c.runs != 0 {
+		t.Errorf("read %v and %v, again %v, seen %v, runs %v; want none", c.read, c.readNow, c.again, c.classes[1].seen, c.runs)
+	}
+	if c.tokens[0] != tokens || c.others != others {
+		t.Errorf("tokens %v of %v, others %v of %v", c.tokens[0], tokens, c.others, others)
+	}
+}
+
+// Guards the worthiest work against a machine that is far too slow for it: it turns that away at once, which draws
+// callers that count what is open, so they must be told to go elsewhere. Without evidence it is asked again.
+func TestUselessMachineIsTold(t *testing.T) {
+	c := testController(t, func(s *Settings) { s.Signal = SignalFloor })
+	good := true
+	beat := func(ev ...Event) {
+		for _, a := range c.Step(c.now+tick, append(ev, Tick{})) {
+			if h, ok := a.(Health); ok {
+				good = h.Good
+			}
+		}
+	}
+	id := ID(0)
+	arrive := func(age time.Duration) Event {
+		id++
+		return Arrive{ID: id, Class: 1, HeldKB: 1, Age: age}
+	}
+	for range 50 {
+		beat(arrive(0))
+		beat(Done{ID: id, Outcome: OutcomeOK})
+		if beat(arrive(2 * time.Second)); !good { // too late wherever it is run
+			t.Fatal("told to go though half of its work is done")
+		}
+	}
+	for range 50 {
+		beat(arrive(2 * time.Second))
+	}
+	if good || c.said != 1 {
+		t.Fatalf("good %v, level %v, while all of the worthiest work is turned away", good, c.said)
+	}
+	for range 250 {
+		beat()
+	}
+	if !good {
+		t.Error("a machine that nobody asks stays shut out")
+	}
+}
+
+// Guards the worthiest class against being given up: slots that a slow spell makes longer are learned at the usual
+// pace, or the spell would count twice, in them and in the pace, and for long after it.
+func TestSlowSpellIsNotLearned(t *testing.T) {
+	c := testController(t, nil)
+	id := ID(0)
+	run := func(ticks int) {
+		id += 2
+		c.Step(c.now+tick, []Event{Tick{}, Arrive{ID: id, HeldKB: 1}, Arrive{ID: id + 1, HeldKB: 1}})
+		for range ticks {
+			c.Step(c.now+tick, []Event{Tick{}})
+		}
+		c.Step(c.now, []Event{Done{ID: id, Outcome: OutcomeOK}, Done{ID: id + 1, Outcome: OutcomeOK}})
+	}
+	for range 300 {
+		run(5)
+	}
+	usual := c.classes[0].slot.v
+	for range 20 {
+		run(50)
+	}
+	if c.pace < 3 || c.classes[0].slot.v > 1.3*usual {
+		t.Errorf("pace %v, slot %v after a spell ten times as slow, %v before it", c.pace, c.classes[0].slot.v, usual)
+	}
+}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -167,7 +167,7 @@
 }
 
 // doubtMost is how long the module may take its machine for sick before callers hear of it.
-const doubtMost = micro.Second
+const doubtMost = 250 * micro.Millisecond
 
 // Health is the answer to health checks and reports. Guards the server list against a doubt of a moment: callers
 // see a change a second or two late, and would stay away for as long. The notice to leave is told at once.
@@ -460,8 +460,9 @@
 	case Errored:
 		c.answer(r, Answer{Status: Failed, Reason: "the run failed"})
 	case Rejected:
-		// No sign of a machine that fails: guards the health against callers that make requests up.
-		outcome = control.OutcomeCancelled
+		// No sign of a machine that fails, nor of what is asked of it: guards the health and the shares against
+		// callers that make requests up.
+		outcome = control.OutcomeFull
 		c.answer(r, Answer{Status: Failed, Reason: "the runner does not take it"})
 	case Stopped:
 		outcome = control.OutcomeCancelled
