Move the level four times a second in half the steps, so that cores do not idle in waves

At fault in control.go: sayEvery, floorUp and floorDown. Ruled out: memory (0.2 to 0.5 in use), reading (ages of 10 ms), resets (57 in 25 s), and the limit, which follows the cores.

--- a/control/control.go
+++ b/control/control.go
@@ -50,7 +50,7 @@
 	answerLead            = 10 * time.Millisecond    // answers go out this long before they are due
 	errBad, errRuns       = 0.3, 3.0                 // worse than refusals; errors needed to tell
 	hungRuns              = 24.0                     // mean services of slot time without progress: e^-24
-	sayEvery              = 500 * time.Millisecond   // half the time that callers usually keep a value
+	sayEvery              = 250 * time.Millisecond   // a quarter of the time that callers usually keep a value
 	shedFew, shedHalf     = 0.02, 0.5                // turned away: no overload; others are full too
 	ageLate               = 1.0 / 8                  // of the aim: reading is what is short
 	weightDown, weightUp  = 0.7, 1.15                // a second of overload halves it; no wave of returns
@@ -58,7 +58,7 @@
 	goneSure, goneLeft    = 6.0, 3.0                 // turned away of late: enough to tell; and to keep to it
 	useless               = 0.6                      // of the worthiest work turned away: of no use
 	usualRuns             = 4000.0                   // completions behind the usual pace: outlasts a slow spell
-	floorUp, floorDown    = 0.1, 0.2                 // of the ranks: a level kept too long leaves cores idle
+	floorUp, floorDown    = 0.05, 0.1                // of the ranks: a level kept too long leaves cores idle
 	connWorth, gapFade    = 12.0, 0.9                // seconds idle that cost a handshake; of the gaps, a refit
 	keepMin               = 100 * time.Millisecond   // shortest life of an idle connection
 )
--- a/control/guards_test.go
+++ b/control/guards_test.go
@@ -172,6 +172,30 @@
 	}
 }
 
+// Guards the cores against waves: callers keep a value for a second, and large steps have them all come and go
+// together. The level moves four times a second, by a tenth at most.
+func TestLevelMovesInSmallSteps(t *testing.T) {
+	c := testController(t, func(s *Settings) { s.Signal = SignalFloor })
+	said, moves := 0.0, 0
+	for c.now < 2*time.Second {
+		c.readNow, c.shedNow = 10, 5
+		if c.now > time.Second {
+			c.shedNow = 0
+		}
+		for _, a := range c.Step(c.now+tick, []Event{Tick{}}) {
+			if s, ok := a.(Signal); ok {
+				if d := s.Value - said; d > 0.11 || d < -0.11 {
+					t.Errorf("at %v the level moves by %v", c.now, d)
+				}
+				said, moves = s.Value, moves+1
+			}
+		}
+	}
+	if moves < 5 {
+		t.Errorf("the level moved %d times in two seconds of change", moves)
+	}
+}
+
 // Guards tenants within their shares against one that floods: of equal requests, some of which must go, those
 // beyond a tenant's share go first, and where there is room they run like any other.
 func TestOverShareIsShedFirst(t *testing.T) {
