Stop safe runs past their aim while work waits, and count repeats as part spent

A third of the reads on re931a2 are repeats, whose aim counts from a first try that nobody tells the age of.

At fault in control.go: answerDue(), which let a run go on to its deadline though its aim had passed, and lastUse(), which gave a repeat the whole aim anew. Now a safe run past its use fails at once and is stopped, if the settings have runs stopped, late answers are worth nothing and the limit holds work back; what it took is learned, or only short runs would be. A repeat has seven tenths of the aim. Keyed runs go on, and where nothing waits, a late answer still comes.

--- a/control/control.go
+++ b/control/control.go
@@ -37,7 +37,7 @@
 	epoch                 = 2 * time.Second          // a hill-climb step needs tens of completions to be seen
 	slotCost              = 0.05                     // throughput that a core's worth of slots must bring
 	crowdShare            = 0.8                      // of the crowd survived, calls included
-	spread                = 1.5                      // over the mean service: later, many come late
+	spread, repeatAim     = 1.5, 0.7                 // of the mean service: later, many are late; of the aim
 	fadeTime              = 2 * time.Second          // of recent means: slow spells are soon forgotten
 	pacePrior, paceMax    = 0.25, 50.0               // seconds a core that "as usual" weighs; a hung machine
 	memoryFull            = 0.95                     // of memory: no entry or run above it
@@ -56,8 +56,7 @@
 	weightDown, weightUp  = 0.7, 1.15                // a second of overload halves it; no wave of returns
 	weightMin             = 0.01                     // chance that a caller still tries
 	goneSure, goneLeft    = 6.0, 3.0                 // turned away of late: enough to tell; and to keep to it
-	useless               = 0.6                      // of the worthiest work turned away: of no use
-	usualRuns             = 4000.0                   // completions behind the usual pace: outlasts a slow spell
+	useless, usualRuns    = 0.6, 4000.0              // of the worthiest turned away; completions
 	floorUp, floorDown    = 0.05, 0.1                // of the ranks: a level kept too long leaves cores idle
 	connWorth, gapFade    = 12.0, 0.9                // seconds idle that cost a handshake; of the gaps, a refit
 	keepMin               = 100 * time.Millisecond   // shortest life of an idle connection
@@ -591,7 +590,11 @@
 // lastUse is when an answer to r stops earning its full worth.
 func (c *Controller) lastUse(r *request) time.Duration {
 	k := c.classes[r.Class]
-	return min(r.at+k.Aim+seconds(k.AimStretch*r.Hint.Seconds()), r.due)
+	aim := k.Aim
+	if r.Retry { // it counts from the first try, which came earlier, nobody tells when
+		aim = seconds(repeatAim * aim.Seconds())
+	}
+	return min(r.at+aim+seconds(k.AimStretch*r.Hint.Seconds()), r.due)
 }
 
 // hopeless says that r cannot be answered in time to be worth its work. Late answers are for idle times.
@@ -709,14 +712,8 @@
 	c.runs++
 	k.away.add(0)
 	k.seen++
-	c.yield += c.slotOf(r)
 	c.epochWork += c.slotOf(r)
-	// At the usual pace: a slow spell would else count twice, in the slots that it made longer and in the
-	// pace, and most for the class that is served best.
-	c.usual.over(c.pace, usualRuns)
-	slot := r.slotTime.Seconds() * c.usual.v / c.pace
-	k.slot.add(slot)
-	c.slotTime.add(slot)
+	c.learn(r, r.slotTime)
 	k.calls.add(r.calls)
 	k.service.add((c.now - r.started).Seconds())
 	if !r.answered {
@@ -725,9 +722,18 @@
 	}
 }
 
-// void takes back what the arrival of r counted: the host could not run it, as nobody had asked for it.
-// Guards against callers that make requests up in bursts: amid them a server that turned away nearly all that
-// was real took itself for one with room, and the shares of the tenants they were sent for were spent.
+// learn takes in the slot time of r, which has ended, or is stopped and would have taken longer yet.
+func (c *Controller) learn(r *request, took time.Duration) {
+	c.yield += c.slotOf(r)
+	// At the usual pace: a slow spell would else count twice, in the slots that it made longer and in the pace.
+	c.usual.over(c.pace, usualRuns)
+	slot := took.Seconds() * c.usual.v / c.pace
+	c.classes[r.Class].slot.add(slot)
+	c.slotTime.add(slot)
+}
+
+// void takes back what the arrival of r counted, as nobody had asked for it. Guards against bursts of made-up
+// requests: a server that turned away nearly all that was real took itself for one with room.
 func (c *Controller) void(r *request) {
 	c.read, c.readNow = math.Max(c.read-1, 0), math.Max(c.readNow-1, 0)
 	if r.Retry {
@@ -760,10 +766,21 @@
 	for _, r := range c.order {
 		if !r.answered && (c.now >= r.due-answerLead || c.drained && c.now >= c.stop-2*tick) {
 			c.fail(r)
+		} else if c.inVain(r) {
+			c.learn(r, r.slotTime+c.now-r.since)
+			c.fail(r)
 		}
 	}
 }
 
+// inVain says that r runs past its use while its slot is wanted for work that still has one. Guards against
+// the few that take far longer than others: they held a tenth of the slots for answers worth nothing.
+func (c *Controller) inVain(r *request) bool {
+	k := c.classes[r.Class]
+	return r.state == running && !r.answered && k.Effect == Safe && k.LateWorth == 0 &&
+		c.s.Stop == StopDiscard && c.wasBound && c.now > c.lastUse(r)
+}
+
 func (c *Controller) fail(r *request) {
 	c.do(Fail{r.ID})
 	c.release(r)
--- a/control/guards_test.go
+++ b/control/guards_test.go
@@ -493,3 +493,40 @@
 		t.Errorf("pace %v, slot %v after a spell ten times as slow, %v before it", c.pace, c.classes[0].slot.v, usual)
 	}
 }
+
+// Guards the slots against runs that have come past their use: one that work is waiting for is stopped, and its
+// caller told at once; without work that waits it goes on, and keyed work always does. Their time is learned from.
+func TestRunsInVainAreStopped(t *testing.T) {
+	for _, c := range []struct {
+		class, waits, want int
+	}{{0, 1, 1}, {0, 0, 0}, {1, 1, 0}} {
+		m := testController(t, func(s *Settings) { s.Stop = StopDiscard })
+		m.limit = 1
+		m.Step(0, []Event{Arrive{ID: 1, Class: c.class, HeldKB: 1, Age: 1500 * time.Millisecond}})
+		m.Step(450*time.Millisecond, nil)
+		before := m.classes[c.class].slot.v
+		for i := range c.waits {
+			m.Step(m.now, []Event{Arrive{ID: ID(2 + i), HeldKB: 1}})
+		}
+		as := m.Step(501*time.Millisecond, nil) // the aim is two seconds
+		as = append(as, m.Step(502*time.Millisecond, nil)...)
+		if fails, stops := count[Fail](as), count[Pause](as); fails != c.want || stops != c.want {
+			t.Errorf("%+v: %d failed, %d stopped, want %d", c, fails, stops, c.want)
+		}
+		if learned := m.classes[c.class].slot.v > before; learned != (c.want == 1) {
+			t.Errorf("%+v: slot %v, before %v", c, m.classes[c.class].slot.v, before)
+		}
+	}
+}
+
+// The aim counts from the first try. A repeat has less of it left: one that could only just be in time, had it been
+// a first try, is not run.
+func TestRepeatsHaveLessTime(t *testing.T) {
+	for _, retry := range []bool{false, true} {
+		c := testController(t, nil)
+		as := c.Step(0, []Event{Arrive{ID: 1, HeldKB: 1, Age: 1550 * time.Millisecond, Retry: retry}})
+		if ran := count[Run](as) == 1; ran == retry {
+			t.Errorf("retry %v: %v", retry, as)
+		}
+	}
+}
