Tell of a useless machine only if it is far slower than usual itself

At fault in control.go: refuse(), which counted refusals beyond the shares as evidence against the machine, and diagnose(), which did not ask whether it was the machine or the crowd. Now what is beyond a share does not count, and the pace must be over 2.5 times the usual, as it was at 3.3 to 4 on the dead server and 1.7 to 2.1 under a shared cause.

--- a/control/control.go
+++ b/control/control.go
@@ -56,6 +56,7 @@
 	weightDown, weightUp  = 0.7, 1.15                // a second of overload halves it; no wave of returns
 	weightMin             = 0.01                     // chance that a caller still tries
 	goneSure, repeatAim   = 4.0, 0.7                 // turned away of late: enough to tell; of the aim
+	slowPace              = 2.5                      // far slower than usual: no crowd, nor a shared cause
 	useless, usualRuns    = 0.6, 4000.0              // of the worthiest turned away; completions
 	floorUp, floorDown    = 0.05, 0.1                // of the ranks: a level kept too long leaves cores idle
 	connWorth, gapFade    = 12.0, 0.9                // seconds idle that cost a handshake; of the gaps, a refit
@@ -674,9 +675,9 @@
 // use, or would meet only full servers or add to late reading, should not be tried elsewhere.
 func (c *Controller) refuse(r *request, last bool) {
 	c.shed, c.shedNow = c.shed+1, c.shedNow+1
-	c.classes[r.Class].seen, c.classes[r.Class].gone = c.classes[r.Class].seen+1, c.classes[r.Class].gone+1
-	if !r.over && !c.drained && c.sick == "" {
-		c.classes[r.Class].away.add(1)
+	if k := c.classes[r.Class]; !r.over && !c.drained && c.sick == "" {
+		k.away.add(1)
+		k.seen, k.gone = k.seen+1, k.gone+1
 	}
 	deep := math.Min(c.shed/math.Max(c.read, 1), 1)
 	fleet := deep // how full the others are
@@ -979,7 +980,7 @@
 		c.sick = "hung"
 	}
 	top := slices.MaxFunc(c.classes, func(a, b *class) int { return cmp.Compare(a.Worth, b.Worth) })
-	c.useless = top.gone >= goneSure && top.gone > useless*top.seen
+	c.useless = c.pace > slowPace && top.gone >= goneSure && top.gone > useless*top.seen
 	if good := c.sick == "" && !c.useless; !c.drained && (good != wasGood || c.sick != was) {
 		c.do(Health{Good: good, Stored: true})
 		c.do(Log{Text: fmt.Sprintf("health: %v, %q after %q, %.0f%% errors, pace %.1f, %.0f of %.0f turned away",
--- a/control/guards_test.go
+++ b/control/guards_test.go
@@ -436,7 +436,9 @@
 func TestUselessMachineIsTold(t *testing.T) {
 	c := testController(t, func(s *Settings) { s.Signal = SignalFloor })
 	good := true
+	slow := 1.0
 	beat := func(ev ...Event) {
+		c.spent, c.yield = 100*slow, 100
 		for _, a := range c.Step(c.now+tick, append(ev, Tick{})) {
 			if h, ok := a.(Health); ok {
 				good = h.Good
@@ -455,6 +457,12 @@
 			t.Fatal("told to go though half of its work is done")
 		}
 	}
+	for range 50 {
+		if beat(arrive(2 * time.Second)); !good {
+			t.Fatal("a crowd at the usual pace is taken for a slow machine")
+		}
+	}
+	slow = 5
 	for range 50 {
 		beat(arrive(2 * time.Second))
 	}
