--- a/control/control.go
+++ b/control/control.go
@@ -674,10 +674,10 @@
 // refuse turns away a request that never ran; the advice grows with the share turned away. What is past its
 // use, or would meet only full servers or add to late reading, should not be tried elsewhere.
 func (c *Controller) refuse(r *request, last bool) {
-	c.shed, c.shedNow = c.shed+1, c.shedNow+1
+	c.shed++
 	if k := c.classes[r.Class]; !r.over && !c.drained && c.sick == "" {
 		k.away.add(1)
-		k.seen, k.gone = k.seen+1, k.gone+1
+		k.seen, k.gone, c.shedNow = k.seen+1, k.gone+1, c.shedNow+1
 	}
 	deep := math.Min(c.shed/math.Max(c.read, 1), 1)
 	fleet := deep // how full the others are
--- a/control/guards_test.go
+++ b/control/guards_test.go
@@ -550,3 +550,19 @@
 		}
 	}
 }
+
+// Guards the tenants within their shares: the level bars all of a rank alike, so what is turned away beyond a share
+// is no reason to raise it.
+func TestLevelIsForWorkWithinShares(t *testing.T) {
+	for _, over := range []bool{false, true} {
+		c := testController(t, func(s *Settings) { s.Signal = SignalFloor })
+		for id := ID(1); c.now < time.Second; id++ {
+			c.Step(c.now+tick, []Event{Tick{}, Arrive{ID: id, HeldKB: 1}})
+			c.live[id].over = over
+			c.refuse(c.live[id], false)
+		}
+		if raised := c.said > 0; raised == over {
+			t.Errorf("beyond a share %v: level %v", over, c.said)
+		}
+	}
+}
