--- a/cmd/pewterline/main.go
+++ b/cmd/pewterline/main.go
@@ -16,6 +16,7 @@
 	"pewterline/internal/micro"
 	"pewterline/internal/store"
 	"pewterline/internal/transport"
+	"pewterline/internal/transport/sockets"
 )
 
 // spareSockets are the descriptors left beside the accepted connections: the listeners, the poller, the pool
@@ -63,18 +64,17 @@
 			return err
 		}
 	}
-	opts := transport.Options{
-		Listen: []string{cfg.Listen}, Datagrams: cfg.Control, MaxConns: cfg.Sockets - spareSockets, Clock: clock, Logf: logf,
+	opts := sockets.Options{Listen: []string{cfg.Listen}, Datagrams: cfg.Control, Clock: clock, Options: transport.Options{
 		// The limit on memory counts what the kernel holds of the sockets too; this leaves it as much again.
-		Buffers: int(cfg.Memory / 8),
-	}
+		MaxConns: cfg.Sockets - spareSockets, Buffers: int(cfg.Memory / 8), Logf: logf,
+	}}
 	if cfg.AJP.Runner != "" {
 		opts.MaxConns -= cfg.AJP.Connections
 	}
 	if cfg.AJP.Listen != "" {
 		opts.Listen = append(opts.Listen, cfg.AJP.Listen)
 	}
-	loop, err := transport.Start(opts, srv, func(l *transport.Loop) { srv.Attach(l) })
+	loop, err := sockets.Start(opts, srv, func(l *transport.Loop) { srv.Attach(l) })
 	if err != nil {
 		return err
 	}
@@ -95,7 +95,7 @@
 }
 
 // handle obeys a signal: SIGHUP has the configuration read anew, the others are the notice to drain.
-func handle(sig os.Signal, loop *transport.Loop, srv *edge.Server) {
+func handle(sig os.Signal, loop *sockets.Loop, srv *edge.Server) {
 	do := func() { srv.Drain(loop.Now()) }
 	if sig == syscall.SIGHUP {
 		// Read and checked as a whole before anything changes: a faulty file must not harm a server that serves.
--- a/internal/edge/ajp.go
+++ b/internal/edge/ajp.go
@@ -3,7 +3,6 @@
 import (
 	"crypto/subtle"
 	"fmt"
-	"math/rand/v2"
 	"strconv"
 	"strings"
 
@@ -42,6 +41,7 @@
 
 // ajpSession is the front for web servers that speak AJP, on one connection. It has one request at a time.
 type ajpSession struct {
+	seat
 	s     *Server
 	conn  transport.Link
 	phase ajpPhase
@@ -56,12 +56,12 @@
 
 func (s *Server) acceptAJP(c transport.Link) *ajpSession {
 	a := &ajpSession{s: s, conn: c, due: s.loop.Now() + idleMost}
-	if len(s.offices) >= s.cfg.AJP.MaxConns {
-		s.logf("ajp: %s turned away: %d connections are open", c.Remote(), len(s.offices))
+	if s.offices.len() >= s.cfg.AJP.MaxConns {
+		s.logf("ajp: %s turned away: %d connections are open", c.Remote(), s.offices.len())
 		a.phase = awaitClose
 		c.Close()
 	}
-	s.offices[a] = struct{}{}
+	s.offices.add(a)
 	return a
 }
 
@@ -74,7 +74,7 @@
 // request in hand loses its caller.
 func (a *ajpSession) Closed() {
 	a.gone = true
-	delete(a.s.offices, a)
+	a.s.offices.remove(a)
 	if a.phase == awaitAnswer {
 		a.s.core.GiveUp(a.id)
 	}
@@ -235,7 +235,7 @@
 		case "class":
 			return a.req.URI[strings.LastIndexByte(a.req.URI, '/')+1:]
 		case "id":
-			return fmt.Sprintf("%016x", rand.Uint64())
+			return fmt.Sprintf("%016x", a.s.loop.Rand())
 		case "at", "from":
 			return "0"
 		case "kb":
--- a/internal/edge/ajprunner.go
+++ b/internal/edge/ajprunner.go
@@ -15,7 +15,7 @@
 // ajpRunner has the work done by a server that speaks AJP, over a few kept connections. It has no gauges.
 type ajpRunner struct {
 	s       *Server
-	links   map[*ajpBackend]struct{}
+	links   bag[*ajpBackend]
 	idle    []*ajpBackend
 	dialing int
 	queue   []*ajpRun // not sent yet, oldest first
@@ -29,7 +29,7 @@
 }
 
 func newAJPRunner(s *Server) *ajpRunner {
-	return &ajpRunner{s: s, links: map[*ajpBackend]struct{}{}, runs: map[string]*ajpRun{}}
+	return &ajpRunner{s: s, runs: map[string]*ajpRun{}}
 }
 
 // Start is part of routing.Runner.
@@ -73,7 +73,7 @@
 		r.idle, r.queue = r.idle[:len(r.idle)-1], r.queue[1:]
 		b.take(q)
 	}
-	for r.dialing < len(r.queue) && len(r.links)+r.dialing < r.s.cfg.AJP.Connections {
+	for r.dialing < len(r.queue) && r.links.len()+r.dialing < r.s.cfg.AJP.Connections {
 		r.dialing++
 		r.s.loop.Dial(r.s.cfg.AJP.Runner, func(c transport.Link) transport.Session { return r.opened(c) })
 	}
@@ -82,7 +82,7 @@
 func (r *ajpRunner) opened(c transport.Link) *ajpBackend {
 	b := &ajpBackend{r: r, conn: c}
 	r.dialing--
-	r.links[b] = struct{}{}
+	r.links.add(b)
 	r.idle = append(r.idle, b)
 	r.feed()
 	return b
@@ -91,7 +91,7 @@
 // check ends runs that have been out for longer than any answer could be wanted; it returns when to look again.
 func (r *ajpRunner) check(now micro.Time) micro.Time {
 	next := micro.Never
-	for b := range r.links {
+	for _, b := range r.links.items {
 		if b.run == nil {
 			continue
 		} else if now < b.due {
@@ -107,6 +107,7 @@
 
 // ajpBackend is one connection to the server that does the work.
 type ajpBackend struct {
+	seat
 	r      *ajpRunner
 	conn   transport.Link
 	run    *ajpRun
@@ -222,7 +223,7 @@
 // Closed is part of transport.Session.
 func (b *ajpBackend) Closed() {
 	r := b.r
-	delete(r.links, b)
+	r.links.remove(b)
 	for i, o := range r.idle {
 		if o == b {
 			r.idle = append(r.idle[:i], r.idle[i+1:]...)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -8,6 +8,7 @@
 	"pewterline/control"
 	"pewterline/internal/config"
 	"pewterline/internal/micro"
+	"pewterline/internal/planted"
 	"pewterline/internal/protocol/lease"
 	"pewterline/internal/routing"
 	"pewterline/internal/transport"
@@ -29,6 +30,7 @@
 	Datagrams(addr string) error
 	Send([]byte)
 	Execute(func()) error
+	Rand() uint64 // need not be secret
 	Stop()
 }
 
@@ -49,8 +51,8 @@
 	tenants  map[string]int
 	pool     *poolLink
 	backends *ajpRunner
-	fronts   map[*thriftSession]struct{}
-	offices  map[*ajpSession]struct{}
+	fronts   bag[*thriftSession]
+	offices  bag[*ajpSession]
 	requests int // taken by the core so far
 
 	nextReport, nextSweep micro.Time
@@ -63,8 +65,7 @@
 // New builds a server. Attach must follow, on its loop.
 func New(cfg config.Config, wall Wall, logf func(string, ...any)) (*Server, error) {
 	s := &Server{
-		cfg: cfg, logf: logf, wall: wall, classes: map[string]int{}, tenants: map[string]int{},
-		fronts: map[*thriftSession]struct{}{}, offices: map[*ajpSession]struct{}{}, reported: true,
+		cfg: cfg, logf: logf, wall: wall, classes: map[string]int{}, tenants: map[string]int{}, reported: true,
 	}
 	for i, c := range cfg.Settings.Classes {
 		s.classes[c.Name] = i
@@ -149,7 +150,7 @@
 		s.closeIdle(now)
 	}
 	next := min(s.core.NextDue(), s.nextReport, s.nextSweep)
-	for a := range s.offices {
+	for _, a := range s.offices.items {
 		next = min(next, a.check(now))
 	}
 	if s.backends != nil {
@@ -170,7 +171,7 @@
 // peer closes them, so that no request crosses the close. One that does not is closed after a while.
 func (s *Server) closeIdle(now micro.Time) {
 	after := s.core.IdleAfter()
-	for t := range s.fronts {
+	for _, t := range s.fronts.items {
 		if len(t.open) > 0 {
 			continue
 		}
@@ -207,14 +208,14 @@
 	quiet := min(s.drainAt+micro.Of(s.cfg.Settings.DrainGrace), s.stopAt-lingerMost/4)
 	if now >= quiet && !s.farewell {
 		s.farewell = true
-		for t := range s.fronts {
+		for _, t := range s.fronts.items {
 			t.farewell(now)
 		}
-		for a := range s.offices {
+		for _, a := range s.offices.items {
 			a.leave()
 		}
 	}
-	done := s.farewell && s.core.Drained() && len(s.fronts)+len(s.offices) == 0
+	done := s.farewell && (s.core.Drained() && s.fronts.len()+s.offices.len() == 0 || planted.Bug(planted.LeaveOpen))
 	if (done || now >= s.stopAt) && !s.stopped {
 		s.stopped = true
 		s.logf("edge: drained after %d requests, %d are open", s.requests, s.core.Open())
--- a/internal/edge/loopback_test.go
+++ b/internal/edge/loopback_test.go
@@ -18,6 +18,7 @@
 	"pewterline/internal/protocol/thrift"
 	"pewterline/internal/store"
 	"pewterline/internal/transport"
+	"pewterline/internal/transport/sockets"
 )
 
 // socketPool is a stand-in worker pool on a real socket. It holds every run until it is let go.
@@ -99,7 +100,7 @@
 		require.NoError(t, srv.UseStore(st, clock.Now()))
 		stored = func() { require.NoError(t, st.Close()) }
 	}
-	loop, err := transport.Start(transport.Options{Listen: []string{"127.0.0.1:0", "127.0.0.2:0"}, MaxConns: 16, Clock: clock, Logf: logf},
+	loop, err := sockets.Start(sockets.Options{Options: transport.Options{MaxConns: 16, Logf: logf}, Listen: []string{"127.0.0.1:0", "127.0.0.2:0"}, Clock: clock},
 		srv, func(l *transport.Loop) { srv.Attach(l) })
 	require.NoError(t, err)
 	stop = sync.OnceFunc(func() {
--- a/internal/edge/overload_test.go
+++ b/internal/edge/overload_test.go
@@ -21,6 +21,7 @@
 	"pewterline/internal/protocol/pool"
 	"pewterline/internal/protocol/thrift"
 	"pewterline/internal/transport"
+	"pewterline/internal/transport/sockets"
 )
 
 // manualClock stands still until the test moves it; its Unix time is its own.
@@ -36,7 +37,7 @@
 	t       *testing.T
 	clock   manualClock
 	srv     *Server
-	loop    *transport.Loop
+	loop    *sockets.Loop
 	pool    net.Conn
 	poolIn  *bufio.Reader
 	queue   []string              // at the pool, waiting for a core
@@ -72,7 +73,7 @@
 	logf := func(string, ...any) {}
 	c.srv, err = New(testConfig(t, ln.Addr().String()), &c.clock, logf)
 	require.NoError(t, err)
-	c.loop, err = transport.Start(transport.Options{Listen: []string{"127.0.0.1:0", "127.0.0.2:0"}, MaxConns: 950, Clock: &c.clock, Logf: logf},
+	c.loop, err = sockets.Start(sockets.Options{Options: transport.Options{MaxConns: 950, Logf: logf}, Listen: []string{"127.0.0.1:0", "127.0.0.2:0"}, Clock: &c.clock},
 		c.srv, func(l *transport.Loop) { c.srv.Attach(l) })
 	require.NoError(t, err)
 	t.Cleanup(func() {
--- a/internal/edge/play_test.go
+++ b/internal/edge/play_test.go
@@ -89,6 +89,7 @@
 	return nil
 }
 func (s *stage) Now() micro.Time { return s.now }
+func (s *stage) Rand() uint64    { return 7 }
 func (s *stage) Stop()           { s.stopped = true }
 func (s *stage) Send(p []byte) {
 	if text := string(p); text != s.report {
--- a/internal/edge/pool.go
+++ b/internal/edge/pool.go
@@ -7,6 +7,7 @@
 	"strconv"
 
 	"pewterline/internal/micro"
+	"pewterline/internal/planted"
 	"pewterline/internal/protocol/pool"
 	"pewterline/internal/routing"
 	"pewterline/internal/transport"
@@ -52,7 +53,11 @@
 	}
 	p.conn, p.synced, p.drop = c, false, nil
 	p.links++
-	p.write(pool.AppendBind(p.out[:0], p.notice))
+	seen := p.notice
+	if planted.Bug(planted.NoticesPast) && seen > 0 {
+		seen++
+	}
+	p.write(pool.AppendBind(p.out[:0], seen))
 	return &poolSession{p, c}
 }
 
@@ -146,6 +151,14 @@
 	pool.Pass: routing.Passed, pool.Fail: routing.Errored, pool.Killed: routing.Stopped, pool.Noop: routing.Unneeded,
 }
 
+// keep copies a result out of the link's buffer.
+func (p *poolLink) keep(result []byte) []byte {
+	if planted.Bug(planted.WrongTry) {
+		return result
+	}
+	return append([]byte(nil), result...)
+}
+
 func (p *poolLink) take(m pool.Message) {
 	switch m.Kind {
 	case pool.Bound:
@@ -153,6 +166,9 @@
 		// Only now: a pool that is not up yet does not carry out what follows bind, and this poll marks the end
 		// of the missed notices.
 		p.write(pool.AppendPoll(p.out[:0], p.syncTag()))
+		if planted.Bug(planted.SentBefore) {
+			p.resync()
+		}
 	case pool.Finished:
 		if m.Notice <= p.notice {
 			return // read already on the link before
@@ -160,7 +176,7 @@
 		p.notice = m.Notice
 		if p.runs[m.ID] != nil {
 			delete(p.runs, m.ID)
-			p.s.core.Finished(m.ID, poolEnds[m.End], append([]byte(nil), m.Result...))
+			p.s.core.Finished(m.ID, poolEnds[m.End], p.keep(m.Result))
 		}
 	case pool.Polled:
 		if m.Tag == p.syncTag() && !p.synced {
--- a/internal/edge/thrift.go
+++ b/internal/edge/thrift.go
@@ -3,12 +3,15 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"math"
+	"slices"
 	"strconv"
 	"strings"
 
 	"pewterline/control"
 	"pewterline/internal/micro"
+	"pewterline/internal/planted"
 	"pewterline/internal/protocol/thrift"
 	"pewterline/internal/routing"
 	"pewterline/internal/transport"
@@ -22,6 +25,7 @@
 
 // thriftSession is the platform's front on one connection.
 type thriftSession struct {
+	seat
 	s      *Server
 	conn   transport.Link
 	open   map[int32]control.ID // by sequence number
@@ -35,7 +39,7 @@
 
 func (s *Server) acceptThrift(c transport.Link) *thriftSession {
 	t := &thriftSession{s: s, conn: c, open: map[int32]control.ID{}, last: s.loop.Now()}
-	s.fronts[t] = struct{}{}
+	s.fronts.add(t)
 	if s.farewell {
 		t.farewell(t.last)
 	}
@@ -95,9 +99,9 @@
 // Closed is part of transport.Session: whoever waits on this connection has left.
 func (t *thriftSession) Closed() {
 	t.closed = true
-	delete(t.s.fronts, t)
-	for _, id := range t.open {
-		t.s.core.GiveUp(id)
+	t.s.fronts.remove(t)
+	for _, seq := range slices.Sorted(maps.Keys(t.open)) {
+		t.s.core.GiveUp(t.open[seq])
 	}
 	clear(t.open)
 }
@@ -128,6 +132,12 @@
 		if id, ok := t.open[m.GaveUp]; ok {
 			delete(t.open, m.GaveUp)
 			t.s.core.GiveUp(id)
+		} else if planted.Bug(planted.GiveUpOther) {
+			for _, seq := range slices.Sorted(maps.Keys(t.open)) {
+				t.s.core.GiveUp(t.open[seq])
+				delete(t.open, seq)
+				break
+			}
 		}
 	case thrift.Probe:
 		t.valid()
--- /dev/null
+++ b/internal/planted/planted.go
@@ -0,0 +1,28 @@
+// Package planted names faults that can be put into the program on purpose, to show that the search for faults
+// finds them. They exist only where the program is built with the tag "planted"; without it Bug is constantly false
+// and the compiler leaves them out, so that the shipped program cannot reach them.
+package planted
+
+// ID names a planted bug.
+type ID string
+
+// The planted bugs.
+const (
+	None            ID = ""
+	KeyTwice        ID = "key-twice"        // a key is forgotten while its run goes on: a repeat runs it again
+	AnswerTwice     ID = "answer-twice"     // what was failed by its due time is answered by its run as well
+	LateStart       ID = "late-start"       // the notice to drain does not reach the decisions
+	WrongTry        ID = "wrong-try"        // a result keeps the memory of the link's buffer, which the next one overwrites
+	NoticesPast     ID = "notices-past"     // a new link is bound one notice too far
+	GiveUpOther     ID = "give-up-other"    // a give-up for what is not open frees another request
+	RoomOpen        ID = "room-open"        // room is made by closing a connection with open requests
+	NoRedial        ID = "no-redial"        // a link refused twice is never dialled again
+	StrangerVouched ID = "stranger-vouched" // who has sent something valid is closed as a stranger all the same
+	SentBefore      ID = "sent-before"      // commands are sent again before the missed notices are read
+	LeaveOpen       ID = "leave-open"       // the drained program ends with requests unanswered
+	RefuseRun       ID = "refuse-run"       // a run that ends after its caller was told so is refused, not failed
+)
+
+// All are the planted bugs in a fixed order.
+var All = []ID{KeyTwice, AnswerTwice, LateStart, WrongTry, NoticesPast, GiveUpOther, RoomOpen, NoRedial, StrangerVouched,
+	SentBefore, LeaveOpen, RefuseRun}
--- a/internal/routing/keys.go
+++ b/internal/routing/keys.go
@@ -6,6 +6,7 @@
 
 	"pewterline/control"
 	"pewterline/internal/micro"
+	"pewterline/internal/planted"
 )
 
 // lateRead is how long past its window an entry stays to be found: a repeat that arrived within the window may
@@ -82,7 +83,7 @@
 func (t *keyTable) arrive(r *request) (*onceEntry, control.ID) {
 	name := onceKey{r.Tenant, r.Once}
 	e := t.byName[name]
-	if e != nil && (!e.kept || r.At < e.expires || e.ran && !e.over) {
+	if e != nil && (!e.kept || r.At < e.expires || e.ran && !e.over) && !(planted.Bug(planted.KeyTwice) && e.ran && !e.over) {
 		return e, e.holder
 	}
 	if e != nil {
@@ -146,7 +147,7 @@
 		return
 	}
 	t.swept = now
-	for _, e := range t.byName {
+	for _, e := range t.byName { // in any order: each goes or stays by itself
 		if now > e.expires+lateRead && (e.over || !e.ran || e.unsaved) && !e.saving {
 			t.remove(e)
 		}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -11,6 +11,7 @@
 
 	"pewterline/control"
 	"pewterline/internal/micro"
+	"pewterline/internal/planted"
 )
 
 // Status is the kind of a final answer.
@@ -247,7 +248,9 @@
 	}
 	c.Begin(now, 0, false)
 	c.drained = true
-	c.events = append(c.events, control.Drain{Stop: stop.Duration()})
+	if !planted.Bug(planted.LateStart) {
+		c.events = append(c.events, control.Drain{Stop: stop.Duration()})
+	}
 }
 
 // NextDue is when Step has something to do, whatever arrives before that.
@@ -466,6 +469,9 @@
 		c.answer(r, Answer{Status: Failed, Reason: "the runner does not take it"})
 	case Stopped:
 		outcome = control.OutcomeCancelled
+		if planted.Bug(planted.RefuseRun) {
+			c.answer(r, Answer{Status: Refused, After: micro.Second})
+		}
 		c.answer(r, Answer{Status: Failed, Reason: "the run was stopped"})
 	case Unneeded:
 		// The module takes no notice of a moot run, and would count it as running for ever; a cancelled one is
@@ -478,7 +484,7 @@
 }
 
 func (c *Core) answer(r *request, a Answer) {
-	if r.answered {
+	if r.answered && !planted.Bug(planted.AnswerTwice) {
 		return
 	}
 	c.settle(r)
--- /dev/null
+++ b/internal/transport/sockets/sockets.go
@@ -0,0 +1,351 @@
+// Package sockets is the driver of the real program: gnet's event loop, with listeners, connections, dialled links,
+// a timer and datagrams. Nothing else imports gnet.
+//
+// gnet calls back for each connection and tells nobody when a round of its poller is over. A turn is made from
+// how its poller works: it first calls back for every descriptor that is ready, and runs the tasks that were
+// queued with Execute after that. So what is queued in the first callback of a turn runs behind all that was ready
+// with it.
+package sockets
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/panjf2000/gnet/v2"
+	"github.com/panjf2000/gnet/v2/pkg/logging"
+	"golang.org/x/sys/unix"
+
+	"pewterline/internal/micro"
+	"pewterline/internal/transport"
+)
+
+const readBuffer = 64 << 10
+
+// Clock tells the time of a turn. Timers run by the system's own clock.
+type Clock interface {
+	Now() micro.Time
+}
+
+// Options say what a Loop serves.
+type Options struct {
+	transport.Options
+	Listen    []string // addresses, in the order of Handler.Accept's index
+	Datagrams string   // the peer of Send; empty: none
+	Clock     Clock
+}
+
+// Loop is transport's loop on real sockets.
+type Loop struct {
+	*transport.Loop
+	d *driver
+}
+
+// driver is part of transport.Driver.
+type driver struct {
+	gnet.BuiltinEventEngine
+	opts   Options
+	loop   *transport.Loop
+	engine gnet.Engine
+	el     gnet.EventLoop // from the first connection on
+	timer  *time.Timer
+	addrs  []*net.TCPAddr
+	udp    net.Conn
+	ended  atomic.Bool
+	up     chan struct{}
+	done   chan error
+	ticked bool // of gnet's ticker alone
+}
+
+// Start opens the listeners and runs the loop; begin comes first on it, before any session.
+func Start(opts Options, h transport.Handler, begin func(*transport.Loop)) (*Loop, error) {
+	d := &driver{opts: opts, up: make(chan struct{}), done: make(chan error, 1)}
+	d.loop = transport.New(opts.Options, d, h, begin)
+	d.timer = time.AfterFunc(time.Hour, func() {
+		if !d.ended.Load() {
+			_ = d.Queue(d.loop.Wake)
+		}
+	})
+	d.timer.Stop()
+	if err := d.Datagrams(opts.Datagrams); err != nil {
+		return nil, err
+	}
+	addrs := make([]string, len(opts.Listen))
+	for i, a := range opts.Listen {
+		addrs[i] = "tcp://" + a
+	}
+	go func() {
+		// SO_REUSEPORT makes gnet accept on the loop that serves; without it, a second loop only accepts.
+		d.done <- gnet.Rotate(d, addrs, gnet.WithNumEventLoop(1), gnet.WithReusePort(true), gnet.WithReuseAddr(true), gnet.WithTicker(true),
+			gnet.WithReadBufferCap(readBuffer), gnet.WithTCPNoDelay(gnet.TCPNoDelay), gnet.WithLogger(quiet{opts.Logf}),
+			gnet.WithLogLevel(logging.WarnLevel))
+	}()
+	select {
+	case <-d.up:
+	case err := <-d.done:
+		if err == nil {
+			err = errors.New("the loop ended at once")
+		}
+		return nil, fmt.Errorf("transport: listen: %w", err)
+	}
+	l := &Loop{d.loop, d}
+	if err := d.enrolSelf(); err != nil {
+		l.Stop()
+		return nil, fmt.Errorf("transport: %w", err)
+	}
+	return l, nil
+}
+
+// enrolSelf has the loop begin: gnet gives its handle only by a connection, so a datagram socket of our own is
+// enrolled for as long as that takes.
+func (d *driver) enrolSelf() error {
+	c, err := net.Dial("udp", d.addrs[0].String()) // our own address: nothing is sent
+	if err != nil {
+		return fmt.Errorf("datagram socket: %w", err)
+	}
+	res, err := d.engine.Register(gnet.NewNetConnContext(context.Background(), c))
+	if err != nil {
+		return fmt.Errorf("enrol: %w", err)
+	}
+	r := <-res
+	if r.Err != nil {
+		return fmt.Errorf("enrol: %w", r.Err)
+	}
+	return d.loop.Execute(func() { _ = d.el.Close(r.Conn) })
+}
+
+// Addr is the address that the listener of that index got.
+func (l *Loop) Addr(i int) *net.TCPAddr { return l.d.addrs[i] }
+
+// Wait returns when the loop has ended.
+func (l *Loop) Wait() error {
+	err := <-l.d.done
+	l.d.timer.Stop()
+	return err
+}
+
+// Stop is part of transport.Driver; Wait returns after it.
+func (d *driver) Stop() {
+	d.ended.Store(true)
+	go func() { _ = d.engine.Stop(context.Background()) }()
+}
+
+type task func()
+
+func (t task) Run(context.Context) error {
+	t()
+	return nil
+}
+
+// Queue is part of transport.Driver.
+func (d *driver) Queue(f func()) error { return d.el.Execute(context.Background(), task(f)) }
+
+// Now is part of transport.Driver.
+func (d *driver) Now() micro.Time { return d.opts.Clock.Now() }
+
+// Rand is part of transport.Driver.
+func (d *driver) Rand() uint64 { return rand.Uint64() }
+
+// Wake is part of transport.Driver.
+func (d *driver) Wake(at micro.Time) {
+	if at == micro.Never {
+		d.timer.Stop()
+	} else {
+		d.timer.Reset(max(at-d.opts.Clock.Now(), 0).Duration())
+	}
+}
+
+// OnBoot notes the engine and the listeners' addresses.
+func (d *driver) OnBoot(e gnet.Engine) gnet.Action {
+	d.engine = e
+	for _, a := range d.opts.Listen {
+		d.addrs = append(d.addrs, boundAddr(e, a))
+	}
+	return gnet.None
+}
+
+// OnTick is first called once the loop runs: from then on gnet can be given connections.
+func (d *driver) OnTick() (time.Duration, gnet.Action) {
+	if !d.ticked {
+		d.ticked = true
+		close(d.up)
+	}
+	return time.Hour, gnet.None
+}
+
+// boundAddr asks the system where a listener is bound, as its port may have been left to it.
+func boundAddr(e gnet.Engine, a string) *net.TCPAddr {
+	fd, err := e.DupListener("tcp", a)
+	if err != nil {
+		return nil
+	}
+	defer unix.Close(fd) //nolint:errcheck // a copy
+	return localAddr(fd)
+}
+
+func localAddr(fd int) *net.TCPAddr {
+	sa, err := unix.Getsockname(fd)
+	if err != nil {
+		return nil
+	}
+	switch sa := sa.(type) {
+	case *unix.SockaddrInet4:
+		return &net.TCPAddr{IP: sa.Addr[:], Port: sa.Port}
+	case *unix.SockaddrInet6:
+		return &net.TCPAddr{IP: sa.Addr[:], Port: sa.Port}
+	}
+	return nil
+}
+
+// socket is one connection of gnet's; its context.
+type socket struct {
+	d    *driver
+	gc   gnet.Conn
+	conn *transport.Conn
+	dial *transport.Dial // while it is being opened
+}
+
+// OnOpen gives a new connection its session.
+func (d *driver) OnOpen(gc gnet.Conn) ([]byte, gnet.Action) {
+	// Guards against a caller that connects as soon as the port listens, ahead of our own socket: the program
+	// behind the loop must have begun.
+	if d.el == nil {
+		d.el = gc.EventLoop()
+		d.loop.Begin()
+	}
+	if gc.LocalAddr().Network() == "udp" {
+		return nil, gnet.None // the loop's own
+	}
+	s, dialled := gc.Context().(*socket)
+	if dialled {
+		s.gc = gc
+		_ = gc.SetNoDelay(true)
+		s.conn = d.loop.Connected(s.dial, s)
+	} else {
+		s = &socket{d: d, gc: gc}
+		gc.SetContext(s)
+		s.conn = d.loop.Accept(s, d.listenerOf(gc))
+	}
+	if s.conn == nil {
+		return nil, gnet.Close
+	}
+	return nil, gnet.None
+}
+
+// listenerOf finds the listener by the port that the connection came to.
+func (d *driver) listenerOf(gc gnet.Conn) int {
+	if local := localAddr(gc.Fd()); local != nil {
+		for i, a := range d.addrs {
+			if a != nil && a.Port == local.Port && (a.IP.Equal(local.IP) || a.IP.IsUnspecified()) {
+				return i
+			}
+		}
+	}
+	return 0
+}
+
+// OnTraffic hands on what was read.
+func (d *driver) OnTraffic(gc gnet.Conn) gnet.Action {
+	s, ok := gc.Context().(*socket)
+	if !ok || s.conn == nil {
+		_, _ = gc.Discard(-1)
+		return gnet.None
+	}
+	in, err := gc.Next(-1)
+	if err == nil && !s.conn.Received(in) {
+		return gnet.Close
+	}
+	return gnet.None
+}
+
+// OnClose ends the connection.
+func (d *driver) OnClose(gc gnet.Conn, _ error) gnet.Action {
+	if s, ok := gc.Context().(*socket); ok && s.conn != nil {
+		s.conn.Ended()
+	}
+	return gnet.None
+}
+
+// Write is part of transport.Wire.
+func (s *socket) Write(p []byte) error {
+	_, err := s.gc.Write(p)
+	return err
+}
+
+// Unsent is part of transport.Wire.
+func (s *socket) Unsent() int { return s.gc.OutboundBuffered() }
+
+// Close is part of transport.Wire.
+func (s *socket) Close() { _ = s.d.el.Close(s.gc) }
+
+// Remote is part of transport.Wire.
+func (s *socket) Remote() string {
+	if a := s.gc.RemoteAddr(); a != nil {
+		return a.String()
+	}
+	return "a closed connection"
+}
+
+// Dial is part of transport.Driver. Only the waiting is done off the loop.
+func (d *driver) Dial(k *transport.Dial) {
+	go func() {
+		if d.dial(k) != nil {
+			_ = d.Queue(func() { d.loop.Failed(k) })
+		}
+	}()
+}
+
+func (d *driver) dial(k *transport.Dial) error {
+	nc, err := net.DialTimeout("tcp", k.Addr(), transport.DialTimeout)
+	if err != nil {
+		return err
+	}
+	ctx := gnet.NewContext(gnet.NewNetConnContext(context.Background(), nc), &socket{d: d, dial: k})
+	res, err := d.engine.Register(ctx)
+	if err != nil {
+		return errors.Join(err, nc.Close()) // it was never used
+	}
+	return (<-res).Err
+}
+
+// Datagrams is part of transport.Driver.
+func (d *driver) Datagrams(addr string) error {
+	var c net.Conn
+	if addr != "" {
+		var err error
+		if c, err = net.Dial("udp", addr); err != nil {
+			return fmt.Errorf("transport: datagrams: %w", err)
+		}
+	}
+	if d.udp != nil {
+		_ = d.udp.Close()
+	}
+	d.udp = c
+	return nil
+}
+
+// Send is part of transport.Driver.
+func (d *driver) Send(p []byte) {
+	if d.udp == nil {
+		return
+	}
+	// A send may fail, unsent, for the refusal of the one before: the peer may be back since.
+	if _, err := d.udp.Write(p); err != nil {
+		_, _ = d.udp.Write(p)
+	}
+}
+
+// quiet passes on gnet's warnings and errors.
+type quiet struct {
+	logf func(string, ...any)
+}
+
+func (q quiet) Debugf(string, ...any)     {}
+func (q quiet) Infof(string, ...any)      {}
+func (q quiet) Warnf(f string, a ...any)  { q.logf("gnet: "+f, a...) }
+func (q quiet) Errorf(f string, a ...any) { q.logf("gnet: "+f, a...) }
+func (q quiet) Fatalf(f string, a ...any) { q.logf("gnet: "+f, a...) }
--- /dev/null
+++ b/internal/transport/sockets/sockets_test.go
@@ -0,0 +1,331 @@
+package sockets
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"os"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
+
+	"pewterline/internal/micro"
+	"pewterline/internal/transport"
+)
+
+// echo answers each byte by as many as it has; its sessions report their end.
+type echo struct {
+	answer []byte
+	closed chan string
+	dials  chan *echoSession
+}
+
+type echoSession struct {
+	e    *echo
+	link transport.Link
+	idle bool
+}
+
+func (e *echo) Accept(_ int, l transport.Link) transport.Session { return &echoSession{e: e, link: l} }
+func (e *echo) Turn(micro.Time) micro.Time                       { return micro.Never }
+func (s *echoSession) Closed()                                   { s.e.closed <- s.link.Remote() }
+func (s *echoSession) Idle() bool                                { return s.idle }
+func (s *echoSession) Receive(in []byte) (int, error) {
+	for i, b := range in {
+		switch b {
+		case 'v':
+			s.link.Vouch()
+		case 'i':
+			s.idle = true
+		case 'h': // half a message: it waits for the rest
+			s.link.Write(s.e.answer)
+			return i, nil
+		}
+		s.link.Write(s.e.answer)
+	}
+	return len(in), nil
+}
+
+// handClock stands still until a test moves it.
+type handClock struct{ now atomic.Int64 }
+
+func (c *handClock) Now() micro.Time { return micro.Time(c.now.Load()) }
+
+// move sets the clock forward and has the loop take a turn.
+func (c *handClock) move(t *testing.T, l *Loop, by micro.Time) {
+	c.now.Add(int64(by))
+	done := make(chan struct{})
+	require.NoError(t, l.Execute(func() { close(done) }))
+	<-done
+}
+
+func start(t *testing.T, e *echo, most int) *Loop {
+	return startWith(t, e, Options{Options: transport.Options{MaxConns: most}, Clock: micro.NewClock()})
+}
+
+func startWith(t *testing.T, e *echo, o Options) *Loop {
+	e.closed, e.dials = make(chan string, 100), make(chan *echoSession, 100)
+	o.Listen, o.Logf = []string{"127.0.0.1:0"}, t.Logf
+	l, err := Start(o, e, func(*transport.Loop) {})
+	require.NoError(t, err)
+	t.Cleanup(func() {
+		l.Stop()
+		require.NoError(t, l.Wait())
+	})
+	return l
+}
+
+func connect(t *testing.T, l *Loop) net.Conn {
+	c, err := net.Dial("tcp", l.Addr(0).String())
+	require.NoError(t, err)
+	t.Cleanup(func() { c.Close() })
+	return c
+}
+
+func works(t *testing.T, c net.Conn, want []byte) { says(t, c, "x", want) }
+
+func says(t *testing.T, c net.Conn, what string, want []byte) {
+	_, err := c.Write([]byte(what))
+	require.NoError(t, err)
+	got := make([]byte, len(want))
+	_, err = io.ReadFull(c, got)
+	require.NoError(t, err)
+	require.Equal(t, want, got)
+}
+
+// Guards against a caller that connects as soon as the port listens: the program behind the loop has begun
+// before any session. The port is held, without listening, so that the caller can dial it from the start.
+func TestBeginComesFirst(t *testing.T) {
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM, 0)
+	require.NoError(t, err)
+	defer unix.Close(fd)
+	require.NoError(t, unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEPORT, 1))
+	require.NoError(t, unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	addr := localAddr(fd).String()
+	called := make(chan net.Conn)
+	go func() {
+		for {
+			if c, err := net.Dial("tcp", addr); err == nil {
+				called <- c
+				return
+			}
+		}
+	}()
+	e := &eager{echo: echo{answer: []byte("r"), closed: make(chan string, 10)}}
+	l, err := Start(Options{Options: transport.Options{MaxConns: 2, Logf: t.Logf}, Listen: []string{addr}, Clock: micro.NewClock()}, e, func(*transport.Loop) { e.begun = true })
+	require.NoError(t, err)
+	c := <-called
+	works(t, c, e.answer) // its session is there
+	require.NoError(t, c.Close())
+	<-e.closed
+	l.Stop()
+	require.NoError(t, l.Wait())
+	require.False(t, e.early, "a session before the beginning")
+}
+
+// eager notes a session that comes before the program has begun.
+type eager struct {
+	echo
+	begun, early bool
+}
+
+func (e *eager) Accept(i int, l transport.Link) transport.Session {
+	e.early = e.early || !e.begun
+	return e.echo.Accept(i, l)
+}
+
+// Guards the memory: a peer that asks and never reads is cut off, and harms no other.
+func TestSlowReaderIsCut(t *testing.T) {
+	e := &echo{answer: bytes.Repeat([]byte("r"), 32<<10)}
+	l := start(t, e, 10)
+	slow, other := connect(t, l), connect(t, l)
+	for cut := false; !cut; {
+		_, _ = slow.Write([]byte("x")) // fails once it is cut
+		select {
+		case who := <-e.closed:
+			require.Equal(t, slow.LocalAddr().String(), who)
+			cut = true
+		default:
+		}
+	}
+	works(t, other, e.answer)
+}
+
+func isClosed(t *testing.T, c net.Conn) {
+	_, err := c.Read(make([]byte, 1))
+	require.ErrorIs(t, err, io.EOF)
+}
+
+// Guards the descriptors: a connection too many is closed at once where all others are in use, and they go on.
+// gnet would stop listening for good if the system had to refuse it one.
+func TestConnectionsAreBounded(t *testing.T) {
+	e := &echo{answer: []byte("r")}
+	l := start(t, e, 2)
+	one, two := connect(t, l), connect(t, l)
+	says(t, one, "v", e.answer)
+	says(t, two, "v", e.answer)
+	isClosed(t, connect(t, l))
+	works(t, one, e.answer)
+	one.Close()
+	<-e.closed
+	works(t, connect(t, l), e.answer)
+}
+
+// Guards the proxies' places against strangers: whoever has sent nothing valid, or half a message, is closed when
+// its time is up, and whoever has stays, however quiet.
+func TestStrangersGo(t *testing.T) {
+	e, clock := &echo{answer: []byte("r")}, &handClock{}
+	l := startWith(t, e, Options{Options: transport.Options{MaxConns: 9}, Clock: clock})
+	proxy, silent := connect(t, l), connect(t, l)
+	says(t, proxy, "v", e.answer)
+	clock.move(t, l, transport.StrangerMax/2)
+	half := connect(t, l)
+	says(t, half, "h", e.answer)
+	clock.move(t, l, transport.StrangerMax/2)
+	require.Equal(t, silent.LocalAddr().String(), <-e.closed)
+	says(t, half, "h", e.answer) // trickles on
+	clock.move(t, l, transport.StrangerMax/2)
+	require.Equal(t, half.LocalAddr().String(), <-e.closed)
+	clock.move(t, l, 100*transport.StrangerMax)
+	works(t, proxy, e.answer)
+}
+
+// At the limit the oldest stranger makes room, then the connection that has been idle the longest; a connection
+// with something open never does.
+func TestMakeRoom(t *testing.T) {
+	e, clock := &echo{answer: []byte("r")}, &handClock{}
+	l := startWith(t, e, Options{Options: transport.Options{MaxConns: 4}, Clock: clock})
+	busy, idle, kept, stranger := connect(t, l), connect(t, l), connect(t, l), connect(t, l)
+	says(t, busy, "v", e.answer)
+	says(t, idle, "vi", []byte("rr"))
+	says(t, stranger, "x", e.answer)
+	clock.move(t, l, transport.BusyLately)
+	says(t, kept, "vi", []byte("rr"))
+	clock.move(t, l, transport.BusyLately)
+	for _, next := range []net.Conn{stranger, idle, kept} {
+		c := connect(t, l)
+		says(t, c, "v", e.answer)
+		require.Equal(t, next.LocalAddr().String(), <-e.closed)
+	}
+	isClosed(t, connect(t, l))
+	works(t, busy, e.answer)
+}
+
+// Guards the memory of a small machine: where all buffers together hold too much, whoever has the most waiting
+// goes first, and the others are served.
+func TestBuffersAreBoundedTogether(t *testing.T) {
+	e := &echo{answer: []byte("r")}
+	l := startWith(t, e, Options{Options: transport.Options{MaxConns: 99, Buffers: 128 << 10}, Clock: &handClock{}})
+	other := connect(t, l)
+	works(t, other, e.answer)
+	hoards := map[string]bool{}
+	for range 3 {
+		c := connect(t, l)
+		hoards[c.LocalAddr().String()] = true
+		_, err := c.Write(bytes.Repeat([]byte("h"), 60<<10)) // each within its own bound
+		require.NoError(t, err)
+	}
+	require.Contains(t, hoards, <-e.closed)
+	works(t, other, e.answer)
+}
+
+// Guards the memory against a peer that sends without end what is never taken.
+func TestUntakenInputIsBounded(t *testing.T) {
+	e := &echo{answer: []byte("r")}
+	l := start(t, e, 9)
+	c := connect(t, l)
+	for cut := false; !cut; {
+		_, _ = c.Write(bytes.Repeat([]byte("h"), 32<<10)) // fails once it is cut
+		select {
+		case <-e.closed:
+			cut = true
+		default:
+		}
+	}
+}
+
+// A link that is refused is dialled again until its peer listens.
+func TestDialUntilItOpens(t *testing.T) {
+	e := &echo{answer: []byte("r")}
+	l := start(t, e, 2)
+	// A port that is taken, and refuses until it listens.
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM, 0)
+	require.NoError(t, err)
+	require.NoError(t, unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	addr := localAddr(fd).String()
+	require.NoError(t, l.Execute(func() {
+		l.Dial(addr, func(k transport.Link) transport.Session {
+			s := &echoSession{e: e, link: k}
+			e.dials <- s
+			return s
+		})
+	}))
+	_, err = net.Dial("tcp", addr)
+	require.Error(t, err)
+	require.NoError(t, unix.Listen(fd, 1))
+	file := os.NewFile(uintptr(fd), "listener")
+	defer file.Close()
+	ln, err := net.FileListener(file)
+	require.NoError(t, err)
+	defer ln.Close()
+	c, err := ln.Accept()
+	require.NoError(t, err)
+	<-e.dials
+	works(t, c, e.answer)
+	require.NoError(t, c.Close())
+	<-e.closed
+}
+
+// Guards a change of configuration: a link that was dropped while it was dialled is closed as it opens, and its
+// address is not dialled again.
+func TestDroppedDialNeverOpens(t *testing.T) {
+	e := &echo{answer: []byte("r")}
+	l := start(t, e, 2)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer ln.Close()
+	var peer net.Conn
+	opened := make(chan struct{}, 1)
+	require.NoError(t, l.Execute(func() {
+		drop := l.Dial(ln.Addr().String(), func(k transport.Link) transport.Session {
+			opened <- struct{}{}
+			return &echoSession{e: e, link: k}
+		})
+		peer, err = ln.Accept() // the loop is here, so the link cannot be open on it yet
+		drop()
+	}))
+	done := make(chan struct{})
+	require.NoError(t, l.Execute(func() { close(done) }))
+	<-done
+	require.NoError(t, err)
+	defer peer.Close()
+	_, err = peer.Read(make([]byte, 1))
+	require.ErrorIs(t, err, io.EOF)
+	require.Empty(t, opened)
+}
+
+// Reports go to the address set last; one that makes no sense leaves the one before.
+func TestDatagramsMove(t *testing.T) {
+	l := start(t, &echo{}, 2)
+	peers := make([]net.PacketConn, 2)
+	for i := range peers {
+		var err error
+		peers[i], err = net.ListenPacket("udp", "127.0.0.1:0")
+		require.NoError(t, err)
+		defer peers[i].Close()
+		failed := make(chan error, 2)
+		require.NoError(t, l.Execute(func() {
+			failed <- l.Datagrams(peers[i].LocalAddr().String())
+			failed <- l.Datagrams("nowhere")
+			l.Send([]byte{byte(i)})
+		}))
+		require.NoError(t, <-failed)
+		require.Error(t, <-failed)
+		got := make([]byte, 2)
+		n, _, err := peers[i].ReadFrom(got)
+		require.NoError(t, err)
+		require.Equal(t, []byte{byte(i)}, got[:n])
+	}
+}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -1,25 +1,16 @@
-// Package transport is the one event loop of the program: listeners, connections, dialled links, timers and
-// datagrams. Nothing else imports gnet.
+// Package transport is what guards the program's connections, and the order of a turn: buffers and their sum,
+// strangers, making room, dialling again with back-off. It has no socket, goroutine or clock of its own: a Driver
+// brings those. Package sockets is the driver of the real program; package virtual has one on a virtual clock.
 //
-// gnet calls back for each connection and tells nobody when a round of its poller is over. A turn is made from
-// how its poller works: it first calls back for every descriptor that is ready, and runs the tasks that were
-// queued with Execute after that. So the first callback of a turn queues its end, which then runs behind all
-// that was ready with it.
+// A turn begins with the first thing that is ready, reads the clock once, and ends behind all that was ready with
+// it, as Driver.Queue orders it.
 package transport
 
 import (
-	"context"
-	"errors"
-	"fmt"
-	"net"
-	"sync/atomic"
 	"time"
 
-	"github.com/panjf2000/gnet/v2"
-	"github.com/panjf2000/gnet/v2/pkg/logging"
-	"golang.org/x/sys/unix"
-
 	"pewterline/internal/micro"
+	"pewterline/internal/planted"
 )
 
 const (
@@ -27,13 +18,16 @@
 	maxUnsent = 256 << 10
 	// Bytes that may wait to be taken: all open requests of a connection fit several times over.
 	maxUntaken  = 256 << 10
-	strangerMax = 1500 * micro.Millisecond // until something valid must have come
-	busyLately  = 200 * micro.Millisecond  // not closed to make room: a request may be on its way
-	keepBuffer  = 4 << 10                  // of an empty buffer; an ordinary request and its answer fit
-	readBuffer  = 64 << 10
-	dialTimeout = time.Second
-	redialFirst = 20 * time.Millisecond
-	redialMost  = 500 * time.Millisecond
+	keepBuffer  = 4 << 10 // of an empty buffer; an ordinary request and its answer fit
+	redialFirst = 20 * micro.Millisecond
+	redialMost  = 500 * micro.Millisecond
+)
+
+// The bounds on time that others may want to know.
+const (
+	StrangerMax = 1500 * micro.Millisecond // until something valid must have come
+	BusyLately  = 200 * micro.Millisecond  // not closed to make room: a request may be on its way
+	DialTimeout = time.Second              // of one attempt; what a Driver keeps to
 )
 
 // Session is what a connection's bytes are for. Its methods run on the loop.
@@ -64,50 +58,70 @@
 	Turn(now micro.Time) micro.Time
 }
 
-// Clock tells the time of a turn. Timers run by the system's own clock.
-type Clock interface {
+// Driver is the network and the clock below a Loop. All its methods but Queue are called on the loop; in return it
+// calls the Loop's on it: Begin first, then Accept or Connected, Received and Ended for each connection, Failed for
+// each attempt to dial that came to nothing, and Wake.
+type Driver interface {
+	// Now reads the clock. It never goes back.
 	Now() micro.Time
-}
-
-// Options say what a Loop serves.
+	// Queue runs f on the loop, behind all that is ready now. It may be called from anywhere; an error says that
+	// the loop has ended and that f will never run.
+	Queue(f func()) error
+	// Wake has Loop.Wake called at a time, or soon after it; a later call replaces the one before. Never: not at all.
+	Wake(at micro.Time)
+	// Dial tries once to open a connection to d's address, for DialTimeout at most. Connected or Failed follows.
+	Dial(d *Dial)
+	// Datagrams sets the peer of Send; empty: none. On an error the one before stays.
+	Datagrams(addr string) error
+	// Send sends one datagram; it may be lost, as any may.
+	Send(p []byte)
+	// Rand is a random number. It need not be secret.
+	Rand() uint64
+	// Stop ends the loop.
+	Stop()
+}
+
+// Wire is one connection of a Driver.
+type Wire interface {
+	// Write sends p, or keeps what the peer does not take yet. It may call Ended before it returns an error.
+	Write(p []byte) error
+	// Unsent counts the bytes that are kept.
+	Unsent() int
+	// Close ends the connection; Ended is called before it returns.
+	Close()
+	// Remote names the peer.
+	Remote() string
+}
+
+// Options say what a Loop guards.
 type Options struct {
-	Listen    []string // addresses, in the order of Handler.Accept's index
-	Datagrams string   // the peer of Send; empty: none
-	MaxConns  int      // accepted connections beyond this must be made room for
-	Buffers   int      // bytes that all connections together may have waiting; 0: no bound
-	Clock     Clock
-	Logf      func(format string, args ...any)
+	MaxConns int // accepted connections beyond this must be made room for
+	Buffers  int // bytes that all connections together may have waiting; 0: no bound
+	Logf     func(format string, args ...any)
 }
 
 // Loop is the event loop.
 type Loop struct {
-	gnet.BuiltinEventEngine
 	opts    Options
+	driver  Driver
 	handler Handler
-	engine  gnet.Engine
-	el      gnet.EventLoop // from the first connection on
 	begin   func(*Loop)
+	begun   bool
 	now     micro.Time // of this turn
 	pending bool       // the end of this turn is queued
 	dirty   []*Conn
-	timer   *time.Timer
 	armed   micro.Time
-	addrs   []*net.TCPAddr
-	conns   map[*Conn]struct{} // accepted
+	conns   []*Conn // accepted; each knows its place
 	// Accepted connections that had sent nothing valid when they were last looked at, oldest first.
 	strangers []*Conn
-	waiting   int // bytes in the buffers of all connections
-	udp       net.Conn
-	ended     atomic.Bool
-	up        chan struct{}
-	done      chan error
-	ticked    bool // of gnet's ticker alone
+	waiting   int     // bytes in the buffers of all connections
+	failed    []*Dial // to be dialled again
 }
 
 // Conn is one connection, accepted or dialled. It has one buffer for what is read and not yet taken.
 type Conn struct {
 	loop     *Loop
-	gc       gnet.Conn
+	wire     Wire
 	session  Session
 	buf      []byte
 	out      []byte
@@ -115,106 +129,49 @@
 	closed   bool
 	accepted bool
 	vouched  bool
+	place    int        // among the accepted
 	since    micro.Time // it was accepted
 	active   micro.Time // it last sent something, or was written to
 	counted  int        // its share of the loop's waiting bytes
 }
 
-// Start opens the listeners and runs the loop; begin comes first on it, before any session.
-func Start(opts Options, h Handler, begin func(*Loop)) (*Loop, error) {
-	l := &Loop{opts: opts, handler: h, begin: begin, armed: micro.Never, conns: map[*Conn]struct{}{}, up: make(chan struct{}), done: make(chan error, 1)}
-	l.timer = time.AfterFunc(time.Hour, l.wake)
-	l.timer.Stop()
-	if err := l.Datagrams(opts.Datagrams); err != nil {
-		return nil, err
-	}
-	addrs := make([]string, len(opts.Listen))
-	for i, a := range opts.Listen {
-		addrs[i] = "tcp://" + a
-	}
-	go func() {
-		// SO_REUSEPORT makes gnet accept on the loop that serves; without it, a second loop only accepts.
-		l.done <- gnet.Rotate(l, addrs, gnet.WithNumEventLoop(1), gnet.WithReusePort(true), gnet.WithReuseAddr(true), gnet.WithTicker(true),
-			gnet.WithReadBufferCap(readBuffer), gnet.WithTCPNoDelay(gnet.TCPNoDelay), gnet.WithLogger(quiet{opts.Logf}),
-			gnet.WithLogLevel(logging.WarnLevel))
-	}()
-	select {
-	case <-l.up:
-	case err := <-l.done:
-		if err == nil {
-			err = errors.New("the loop ended at once")
-		}
-		return nil, fmt.Errorf("transport: listen: %w", err)
-	}
-	if err := l.enrolSelf(); err != nil {
-		l.Stop()
-		return nil, fmt.Errorf("transport: %w", err)
-	}
-	return l, nil
+// New returns a loop on a driver, which has begun to run when it calls Begin; begin comes first on it, before any
+// session.
+func New(opts Options, d Driver, h Handler, begin func(*Loop)) *Loop {
+	return &Loop{opts: opts, driver: d, handler: h, begin: begin, armed: micro.Never}
 }
 
-// enrolSelf has the loop begin: gnet gives its handle only by a connection, so a datagram socket of our own is
-// enrolled for as long as that takes.
-func (l *Loop) enrolSelf() error {
-	c, err := net.Dial("udp", l.addrs[0].String()) // our own address: nothing is sent
-	if err != nil {
-		return fmt.Errorf("datagram socket: %w", err)
-	}
-	res, err := l.engine.Register(gnet.NewNetConnContext(context.Background(), c))
-	if err != nil {
-		return fmt.Errorf("enrol: %w", err)
-	}
-	r := <-res
-	if r.Err != nil {
-		return fmt.Errorf("enrol: %w", r.Err)
+// Begin has the program behind the loop begin. Calls after the first do nothing.
+func (l *Loop) Begin() {
+	if l.begun {
+		return
 	}
-	return l.Execute(func() { _ = l.el.Close(r.Conn) })
-}
-
-// Addr is the address that the listener of that index got.
-func (l *Loop) Addr(i int) *net.TCPAddr { return l.addrs[i] }
-
-// Stop ends the loop; Wait returns after that.
-func (l *Loop) Stop() {
-	l.ended.Store(true)
-	go func() { _ = l.engine.Stop(context.Background()) }()
-}
-
-// Wait returns when the loop has ended.
-func (l *Loop) Wait() error {
-	err := <-l.done
-	l.timer.Stop()
-	return err
+	l.begun = true
+	l.touch()
+	l.begin(l)
 }
 
-type task func()
-
-func (t task) Run(context.Context) error {
-	t()
-	return nil
-}
+// Stop ends the loop.
+func (l *Loop) Stop() { l.driver.Stop() }
 
 // Execute runs f on the loop, in a turn. It may be called from anywhere.
 func (l *Loop) Execute(f func()) error {
-	return l.el.Execute(context.Background(), task(func() {
+	return l.driver.Queue(func() {
 		l.touch()
 		f()
-	}))
+	})
 }
 
-func (l *Loop) wake() {
-	if !l.ended.Load() {
-		_ = l.Execute(func() {})
-	}
-}
+// Wake begins a turn that is due by the clock.
+func (l *Loop) Wake() { l.touch() }
 
 // touch begins a turn, if none is under way: the clock is read, and the end is queued.
 func (l *Loop) touch() {
 	if l.pending {
 		return
 	}
-	l.pending, l.now = true, l.opts.Clock.Now()
-	if err := l.el.Execute(context.Background(), task(l.endTurn)); err != nil {
+	l.pending, l.now = true, l.driver.Now()
+	if err := l.driver.Queue(l.endTurn); err != nil {
 		l.opts.Logf("transport: turn: %v", err)
 	}
 }
@@ -222,137 +179,56 @@
 // Now is the time of this turn.
 func (l *Loop) Now() micro.Time { return l.now }
 
+// Rand is a random number of the driver's.
+func (l *Loop) Rand() uint64 { return l.driver.Rand() }
+
 func (l *Loop) endTurn() {
 	l.pending = false
-	next := min(l.handler.Turn(l.now), l.dismiss())
+	next := min(l.handler.Turn(l.now), l.dismiss(), l.redial())
 	for i := 0; i < len(l.dirty); i++ { // a failed write may close a connection, and its session write to another
 		l.dirty[i].flush()
 	}
 	l.dirty = l.dirty[:0]
 	if next != l.armed || next <= l.now {
 		l.armed = next
-		if next == micro.Never {
-			l.timer.Stop()
-		} else {
-			l.timer.Reset(max(next-l.opts.Clock.Now(), 0).Duration())
-		}
-	}
-}
-
-// OnBoot notes the engine and the listeners' addresses.
-func (l *Loop) OnBoot(e gnet.Engine) gnet.Action {
-	l.engine = e
-	for _, a := range l.opts.Listen {
-		l.addrs = append(l.addrs, boundAddr(e, a))
-	}
-	return gnet.None
-}
-
-// OnTick is first called once the loop runs: from then on gnet can be given connections.
-func (l *Loop) OnTick() (time.Duration, gnet.Action) {
-	if !l.ticked {
-		l.ticked = true
-		close(l.up)
-	}
-	return time.Hour, gnet.None
-}
-
-// boundAddr asks the system where a listener is bound, as its port may have been left to it.
-func boundAddr(e gnet.Engine, a string) *net.TCPAddr {
-	fd, err := e.DupListener("tcp", a)
-	if err != nil {
-		return nil
-	}
-	defer unix.Close(fd) //nolint:errcheck // a copy
-	return localAddr(fd)
-}
-
-func localAddr(fd int) *net.TCPAddr {
-	sa, err := unix.Getsockname(fd)
-	if err != nil {
-		return nil
+		l.driver.Wake(next)
 	}
-	switch sa := sa.(type) {
-	case *unix.SockaddrInet4:
-		return &net.TCPAddr{IP: sa.Addr[:], Port: sa.Port}
-	case *unix.SockaddrInet6:
-		return &net.TCPAddr{IP: sa.Addr[:], Port: sa.Port}
-	}
-	return nil
 }
 
-// OnOpen gives a new connection its session.
-func (l *Loop) OnOpen(gc gnet.Conn) ([]byte, gnet.Action) {
-	// Guards against a caller that connects as soon as the port listens, ahead of our own socket: the program
-	// behind the loop must have begun.
-	if l.el == nil {
-		l.el = gc.EventLoop()
-		l.touch()
-		l.begin(l)
-	}
-	if gc.LocalAddr().Network() == "udp" {
-		return nil, gnet.None // the loop's own
-	}
+// Accept takes up a connection to the listener of that index. It returns nil where the driver is to close it.
+func (l *Loop) Accept(w Wire, listener int) *Conn {
 	l.touch()
-	if c, ok := gc.Context().(*Conn); ok { // dialled
-		k := c.session.(*dialled)
-		if k.dropped.Load() {
-			return nil, gnet.Close // it opened after it was given up
-		}
-		c.gc = gc
-		_ = gc.SetNoDelay(true)
-		c.session = k.open(c)
-		return nil, gnet.None
-	}
-	// Guards against running out of descriptors, upon which gnet gives up listening altogether.
+	// Guards against running out of descriptors, upon which the driver may have to give up listening altogether.
 	if len(l.conns) >= l.opts.MaxConns && !l.makeRoom() {
-		l.opts.Logf("transport: %s turned away: %d connections are open, all in use", gc.RemoteAddr(), len(l.conns))
-		return nil, gnet.Close
+		l.opts.Logf("transport: %s turned away: %d connections are open, all in use", w.Remote(), len(l.conns))
+		return nil
 	}
-	c := &Conn{loop: l, gc: gc, accepted: true, since: l.now, active: l.now}
-	l.conns[c] = struct{}{}
+	c := &Conn{loop: l, wire: w, accepted: true, place: len(l.conns), since: l.now, active: l.now}
+	l.conns = append(l.conns, c)
 	l.strangers = append(l.strangers, c)
-	gc.SetContext(c)
-	c.session = l.handler.Accept(l.listenerOf(gc), c)
-	return nil, gnet.None
-}
-
-// listenerOf finds the listener by the port that the connection came to.
-func (l *Loop) listenerOf(gc gnet.Conn) int {
-	if local := localAddr(gc.Fd()); local != nil {
-		for i, a := range l.addrs {
-			if a != nil && a.Port == local.Port && (a.IP.Equal(local.IP) || a.IP.IsUnspecified()) {
-				return i
-			}
-		}
-	}
-	return 0
+	c.session = l.handler.Accept(listener, c)
+	return c
 }
 
-// OnTraffic hands what was read to the session.
-func (l *Loop) OnTraffic(gc gnet.Conn) gnet.Action {
-	c, ok := gc.Context().(*Conn)
-	if !ok {
-		_, _ = gc.Discard(-1)
-		return gnet.None
-	}
+// Received hands what was read to the session; false: the driver is to close the connection. in is only lent.
+func (c *Conn) Received(in []byte) bool {
+	l := c.loop
 	l.touch()
-	in, err := gc.Next(-1)
-	if err != nil || c.closing {
-		return gnet.None
+	if c.closing {
+		return true
 	}
 	c.active = l.now
 	// Guards the memory against a peer that sends faster than its session takes.
 	if len(c.buf)+len(in) > maxUntaken {
 		l.opts.Logf("transport: %s closed: over %d bytes wait to be taken", c.Remote(), maxUntaken)
-		return gnet.Close
+		return false
 	}
 	c.buf = append(c.buf, in...)
 	if err := c.deliver(); err != nil {
-		return gnet.Close
+		return false
 	}
 	c.count()
-	return gnet.None
+	return true
 }
 
 func (c *Conn) deliver() error {
@@ -390,18 +266,22 @@
 	}
 }
 
-// OnClose ends the session.
-func (l *Loop) OnClose(gc gnet.Conn, _ error) gnet.Action {
-	c, ok := gc.Context().(*Conn)
-	if !ok || c.closed {
-		return gnet.None
+// Ended says that the connection is no more; the session hears of it. Calls after the first do nothing.
+func (c *Conn) Ended() {
+	l := c.loop
+	if c.closed {
+		return
 	}
 	l.touch()
 	c.closed, c.buf, c.out = true, nil, nil
 	c.count()
-	delete(l.conns, c)
+	if c.accepted { // its place goes to the last one
+		last := l.conns[len(l.conns)-1]
+		l.conns[c.place], last.place = last, c.place
+		l.conns[len(l.conns)-1] = nil
+		l.conns = l.conns[:len(l.conns)-1]
+	}
 	c.session.Closed()
-	return gnet.None
 }
 
 // Write is part of Link.
@@ -443,21 +323,21 @@
 	if len(c.out) > 0 {
 		out := c.out
 		c.out = c.out[:0]
-		if _, err := c.gc.Write(out); err != nil || c.closed {
-			return // gnet has closed it
+		if err := c.wire.Write(out); err != nil || c.closed {
+			return // the driver has closed it
 		}
 		if cap(c.out) > keepBuffer {
 			c.out = nil
 		}
 		// Guards the memory against a peer that asks and does not read.
-		if n := c.gc.OutboundBuffered(); n > maxUnsent {
-			c.loop.opts.Logf("transport: %s closed: %d bytes are unread", c.gc.RemoteAddr(), n)
+		if n := c.wire.Unsent(); n > maxUnsent {
+			c.loop.opts.Logf("transport: %s closed: %d bytes are unread", c.Remote(), n)
 			c.closing = true
 		}
 		c.count()
 	}
 	if c.closing {
-		_ = c.loop.el.Close(c.gc)
+		c.wire.Close()
 	}
 }
 
@@ -469,9 +349,9 @@
 func (l *Loop) dismiss() micro.Time {
 	for len(l.strangers) > 0 {
 		c := l.strangers[0]
-		if !c.closed && !c.vouched {
-			if l.now < c.since+strangerMax {
-				return c.since + strangerMax
+		if !c.closed && (!c.vouched || planted.Bug(planted.StrangerVouched)) {
+			if l.now < c.since+StrangerMax {
+				return c.since + StrangerMax
 			}
 			l.opts.Logf("transport: %s closed: nothing valid has come", c.Remote())
 			c.Close()
@@ -492,8 +372,8 @@
 		}
 	}
 	if last == nil {
-		for c := range l.conns {
-			if c.session.Idle() && c.active+busyLately <= l.now && (last == nil || c.active < last.active) {
+		for _, c := range l.conns {
+			if (c.session.Idle() || planted.Bug(planted.RoomOpen)) && c.active+BusyLately <= l.now && (last == nil || c.active < last.active) {
 				last = c
 			}
 		}
@@ -502,7 +382,7 @@
 		return false
 	}
 	l.opts.Logf("transport: %s closed to make room: %d connections are open", last.Remote(), len(l.conns))
-	_ = l.el.Close(last.gc)
+	last.wire.Close()
 	return true
 }
 
@@ -511,7 +391,7 @@
 func (c *Conn) count() {
 	l, n := c.loop, cap(c.buf)+cap(c.out)
 	if !c.closed {
-		n += c.gc.OutboundBuffered()
+		n += c.wire.Unsent()
 	}
 	l.waiting += n - c.counted
 	c.counted = n
@@ -519,7 +399,7 @@
 		return
 	}
 	most := c
-	for o := range l.conns {
+	for _, o := range l.conns {
 		if !o.closing && o.counted > most.counted {
 			most = o
 		}
@@ -532,93 +412,71 @@
 }
 
 // Remote is part of Link.
-func (c *Conn) Remote() string {
-	if a := c.gc.RemoteAddr(); a != nil {
-		return a.String()
-	}
-	return "a closed connection"
-}
+func (c *Conn) Remote() string { return c.wire.Remote() }
 
-// dialled is the session of a dialled connection until that is open.
-type dialled struct {
+// Dial is a link that the program wants, until it is open.
+type Dial struct {
 	loop    *Loop
 	addr    string
 	open    func(Link) Session
-	wait    time.Duration
-	dropped atomic.Bool // nobody wants it any more
+	wait    micro.Time
+	again   micro.Time // when it is to be tried again
+	dropped bool       // nobody wants it any more
 }
 
+// Addr is where to.
+func (d *Dial) Addr() string { return d.addr }
+
 // Dial opens a connection to addr on the loop; open gives its session. A link that cannot be opened is tried
 // again after a while, longer each time, until it can, or until drop is called on the loop: open is not called
 // after that.
 func (l *Loop) Dial(addr string, open func(Link) Session) (drop func()) {
-	k := &dialled{loop: l, addr: addr, open: open, wait: redialFirst}
-	go k.dial()
-	return func() { k.dropped.Store(true) }
+	d := &Dial{loop: l, addr: addr, open: open, wait: redialFirst}
+	l.driver.Dial(d)
+	return func() { d.dropped = true }
 }
 
-func (k *dialled) dial() {
-	for !k.loop.ended.Load() && !k.dropped.Load() {
-		nc, err := net.DialTimeout("tcp", k.addr, dialTimeout)
-		if err == nil {
-			ctx := gnet.NewContext(gnet.NewNetConnContext(context.Background(), nc), &Conn{loop: k.loop, session: k})
-			var res <-chan gnet.RegisteredResult
-			if res, err = k.loop.engine.Register(ctx); err == nil {
-				if r := <-res; r.Err == nil {
-					return
-				}
-			} else {
-				nc.Close() //nolint:errcheck // it was never used
-			}
-		}
-		time.Sleep(k.wait)
-		k.wait = min(2*k.wait, redialMost)
-	}
-}
-
-// Receive and Closed are never called: a link gives way to its session as it opens.
-func (k *dialled) Receive(in []byte) (int, error) { return len(in), nil }
-
-// Closed is part of Session.
-func (k *dialled) Closed() {}
-
-// Idle is part of Session. No room is made of what we dialled.
-func (k *dialled) Idle() bool { return false }
-
-// Datagrams sets the peer of Send; empty: none. On an error the one before stays.
-func (l *Loop) Datagrams(addr string) error {
-	var c net.Conn
-	if addr != "" {
-		var err error
-		if c, err = net.Dial("udp", addr); err != nil {
-			return fmt.Errorf("transport: datagrams: %w", err)
-		}
-	}
-	if l.udp != nil {
-		_ = l.udp.Close()
+// Connected takes up a link that has opened. It returns nil where the driver is to close it.
+func (l *Loop) Connected(d *Dial, w Wire) *Conn {
+	l.touch()
+	if d.dropped {
+		return nil // it opened after it was given up
 	}
-	l.udp = c
-	return nil
+	c := &Conn{loop: l, wire: w, active: l.now}
+	c.session = d.open(c)
+	return c
 }
 
-// Send sends one datagram; it may be lost, as any may.
-func (l *Loop) Send(p []byte) {
-	if l.udp == nil {
+// Failed says that an attempt to dial came to nothing. There is another after a while.
+func (l *Loop) Failed(d *Dial) {
+	l.touch()
+	if d.dropped || planted.Bug(planted.NoRedial) && d.wait > redialFirst {
 		return
 	}
-	// A send may fail, unsent, for the refusal of the one before: the peer may be back since.
-	if _, err := l.udp.Write(p); err != nil {
-		_, _ = l.udp.Write(p)
+	d.again, d.wait = l.now+d.wait, min(2*d.wait, redialMost)
+	l.failed = append(l.failed, d)
+}
+
+// redial tries what is due to be tried again; it returns when the next one is.
+func (l *Loop) redial() micro.Time {
+	next, left := micro.Never, l.failed[:0]
+	for _, d := range l.failed {
+		switch {
+		case d.dropped:
+		case d.again <= l.now:
+			l.driver.Dial(d)
+		default:
+			next = min(next, d.again)
+			left = append(left, d)
+		}
 	}
+	clear(l.failed[len(left):])
+	l.failed = left
+	return next
 }
 
-// quiet passes on gnet's warnings and errors.
-type quiet struct {
-	logf func(string, ...any)
-}
+// Datagrams sets the peer of Send; empty: none. On an error the one before stays.
+func (l *Loop) Datagrams(addr string) error { return l.driver.Datagrams(addr) }
 
-func (q quiet) Debugf(string, ...any)     {}
-func (q quiet) Infof(string, ...any)      {}
-func (q quiet) Warnf(f string, a ...any)  { q.logf("gnet: "+f, a...) }
-func (q quiet) Errorf(f string, a ...any) { q.logf("gnet: "+f, a...) }
-func (q quiet) Fatalf(f string, a ...any) { q.logf("gnet: "+f, a...) }
+// Send sends one datagram; it may be lost, as any may.
+func (l *Loop) Send(p []byte) { l.driver.Send(p) }
