Add a virtual clock and network, fault scripts and the decisions of the search

Need: the worst mornings must be replayed from a seed, which asks for a network without sockets and for faults as records. Change: internal/virtual with streams, datagrams and a host that drives the program's own transport; internal/faults with a text form that is checked; internal/decide/search with a guided search and a shrinker.

--- /dev/null
+++ b/internal/decide/search/search.go
@@ -0,0 +1,169 @@
+// Package search decides which fault script is played next, and how a failing one is made smaller. It plays nothing
+// itself: the host asks for a script, plays it, and tells what it reached or whether it still fails. There is no I/O,
+// goroutine or clock here, and the same seed with the same reports gives the same scripts.
+package search
+
+import (
+	"math/rand/v2"
+	"slices"
+
+	"pewterline/internal/faults"
+	"pewterline/internal/micro"
+)
+
+const (
+	freshShare = 0.25 // of the scripts drawn anew though there are others to change
+	keptMost   = 400  // scripts kept to be changed
+	changeMost = 5    // changes to a script at once
+	stepsMost  = 40   // faults that a changed script may have more than a drawn one
+)
+
+// Situation names something that a run has reached, such as a fault of one kind while a request was in one state.
+type Situation uint64
+
+// Guided keeps scripts that reached new or rare situations and changes them, in the way of coverage-guided fuzzing:
+// M. Zalewski, "Technical whitepaper for afl-fuzz"; the preference for the rare is that of M. Boehme et al.,
+// "Coverage-based Greybox Fuzzing as Markov Chain" (CCS 2016).
+type Guided struct {
+	rng  *rand.Rand
+	draw func(seed uint64) faults.Script
+	seen map[Situation]int
+	kept []kept
+	next uint64
+	runs int
+}
+
+// kept is a script with what it reached.
+type kept struct {
+	script  faults.Script
+	reached []Situation
+	played  int // how often it was changed
+}
+
+// NewGuided returns a search that draws fresh scripts by draw, from the seed first on.
+func NewGuided(first uint64, draw func(seed uint64) faults.Script) *Guided {
+	return &Guided{rng: rand.New(rand.NewPCG(first, 0x73656172)), draw: draw, seen: map[Situation]int{}, next: first}
+}
+
+// Next is the script to play now.
+func (g *Guided) Next() faults.Script {
+	g.runs++
+	if len(g.kept) == 0 || g.rng.Float64() < freshShare {
+		s := g.draw(g.next)
+		g.next++
+		return s
+	}
+	k := g.pick()
+	k.played++
+	return g.change(k.script)
+}
+
+// Runs, Seen and Kept tell how far the search has come: scripts asked for, situations reached, scripts kept.
+func (g *Guided) Runs() int { return g.runs }
+
+// Seen counts the situations reached.
+func (g *Guided) Seen() int { return len(g.seen) }
+
+// Kept counts the scripts that are changed further.
+func (g *Guided) Kept() int { return len(g.kept) }
+
+// Learn takes what a script has reached. It is kept where something was new.
+func (g *Guided) Learn(s faults.Script, reached []Situation) (fresh int) {
+	reached = slices.Compact(slices.Sorted(slices.Values(reached)))
+	for _, x := range reached {
+		if g.seen[x] == 0 {
+			fresh++
+		}
+		g.seen[x]++
+	}
+	if fresh == 0 {
+		return 0
+	}
+	g.kept = append(g.kept, kept{script: s.Clone(), reached: reached})
+	if len(g.kept) > keptMost { // the one whose situations are the commonest goes
+		least := 0
+		for i := range g.kept {
+			if g.worth(&g.kept[i]) < g.worth(&g.kept[least]) {
+				least = i
+			}
+		}
+		g.kept = slices.Delete(g.kept, least, least+1)
+	}
+	return fresh
+}
+
+// worth is high for a script that reaches what few others do, and falls as it is changed again and again.
+func (g *Guided) worth(k *kept) float64 {
+	rarest, sum := 0.0, 0.0
+	for _, x := range k.reached {
+		w := 1 / float64(g.seen[x])
+		rarest = max(rarest, w)
+		sum += w * w
+	}
+	return (rarest + sum) / (1 + float64(k.played)/4)
+}
+
+// pick draws a kept script by its worth.
+func (g *Guided) pick() *kept {
+	total := 0.0
+	for i := range g.kept {
+		total += g.worth(&g.kept[i])
+	}
+	at := g.rng.Float64() * total
+	for i := range g.kept {
+		if at -= g.worth(&g.kept[i]); at <= 0 {
+			return &g.kept[i]
+		}
+	}
+	return &g.kept[len(g.kept)-1]
+}
+
+// change returns a script near s. It always passes Check if s does.
+func (g *Guided) change(from faults.Script) faults.Script {
+	s := from.Clone()
+	most := len(from.Faults) + stepsMost
+	for range 1 + g.rng.IntN(changeMost) {
+		n := len(s.Faults)
+		pick := 0
+		if n > 0 {
+			pick = g.rng.IntN(n)
+		}
+		switch c := g.rng.IntN(10); {
+		case c == 0: // other traffic
+			s.Seed = g.rng.Uint64()
+		case n == 0 || c <= 2 && n < most:
+			s.Faults = append(s.Faults, s.Random(g.rng))
+		case c == 3 && n < most: // one more of a kind that is there, at another node
+			s.Faults = append(s.Faults, s.RandomOf(g.rng, s.Faults[pick].Kind))
+		case c == 4:
+			s.Faults = slices.Delete(s.Faults, pick, pick+1)
+		case c == 5: // two faults at nearly the same time
+			other := s.Faults[g.rng.IntN(n)]
+			s.Faults[pick].At = clamp(other.At+micro.Time(g.rng.Int64N(int64(other.For)+int64(100*micro.Millisecond))), s.Length)
+		case c == 6: // and at the same place
+			other := s.Faults[g.rng.IntN(n)]
+			f := s.Faults[pick]
+			f.Node, f.Peer = other.Node, other.Peer
+			f.At = clamp(other.At+micro.Time(g.rng.Int64N(int64(500*micro.Millisecond))), s.Length)
+			if s.Fits(f) {
+				s.Faults[pick] = f
+			}
+		case c == 7:
+			s.Faults[pick].At = clamp(s.Faults[pick].At+micro.Time(g.rng.Int64N(int64(2*micro.Second)))-micro.Second, s.Length)
+		case c == 8: // longer, shorter, more, less
+			fresh := s.RandomOf(g.rng, s.Faults[pick].Kind)
+			s.Faults[pick].For, s.Faults[pick].Amount = fresh.For, fresh.Amount
+		default: // what another script does
+			other := g.kept[g.rng.IntN(len(g.kept))].script
+			if len(other.Faults) > 0 && n < most {
+				if f := other.Faults[g.rng.IntN(len(other.Faults))]; s.Fits(f) {
+					s.Faults = append(s.Faults, f)
+				}
+			}
+		}
+	}
+	s.Sort()
+	return s
+}
+
+func clamp(t, length micro.Time) micro.Time { return min(max(t, 0), length) }
--- /dev/null
+++ b/internal/faults/draw.go
@@ -0,0 +1,157 @@
+package faults
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"sort"
+	"strings"
+
+	"pewterline/internal/micro"
+)
+
+// profile says how much goes wrong, and what.
+type profile struct {
+	every  float64 // seconds between faults, for each server
+	load   float64 // of what the servers can do, roughly
+	weight map[Kind]int
+}
+
+// ratePerServer is what a server with two warm cores serves a second, roughly.
+const ratePerServer = 24
+
+var profiles = map[string]profile{
+	"calm": {every: 20, load: 0.5, weight: map[Kind]int{Cut: 2, Lose: 2, Lag: 2, Hasty: 1, Doubled: 1}},
+	"dawn": {every: 6, load: 0.9, weight: map[Kind]int{Flood: 5, Insist: 3, Strangers: 2, Costly: 2, Lag: 2, Stall: 1, Hasty: 2, Cut: 2}},
+	"noon": {every: 5, load: 1.1, weight: map[Kind]int{Slow: 4, Costly: 4, Pause: 3, StoreSlow: 3, StoreFail: 1, Stall: 2, Thin: 2, Deaf: 1,
+		Cut: 2, Flood: 2, Insist: 1}},
+	"release": {every: 5, load: 0.9, weight: map[Kind]int{Term: 6, Hup: 4, Kill: 2, Stale: 3, Die: 2, Mute: 1, Lose: 2, Stall: 2, Cut: 2, Dark: 1}},
+	"worst": {every: 3, load: 1, weight: map[Kind]int{Kill: 3, Vanish: 1, Term: 3, Hup: 3, Pause: 2, Slow: 2, Costly: 2, Stall: 4, Cut: 5,
+		Lag: 2, Thin: 1, Dark: 2, Lose: 2, Double: 1, Flood: 2, Die: 2, Stale: 1, Hasty: 3, GiveLate: 2, Deaf: 1, Insist: 1, Table: 2, Strangers: 2,
+		Doubled: 2, Mute: 1, StoreSlow: 1, StoreFail: 1}},
+}
+
+// Profiles are the names that Draw takes, in a fixed order.
+func Profiles() []string {
+	var out []string
+	for p := range profiles {
+		out = append(out, p)
+	}
+	sort.Strings(out)
+	return out
+}
+
+// Draw draws a script from a seed by a profile, for a world of that size; rate 0 takes the profile's load. The same
+// arguments give the same script.
+func Draw(seed uint64, name string, servers, proxies int, length micro.Time, rate float64) (Script, error) {
+	p, ok := profiles[name]
+	if !ok {
+		return Script{}, wrong("profile", "unknown %q; there are %s", name, strings.Join(Profiles(), ", "))
+	}
+	rng := rand.New(rand.NewPCG(seed, 0x6661756c))
+	s := Script{Seed: seed, Profile: name, Servers: servers, Proxies: proxies, Offices: max(proxies/2, 1), Length: length, Rate: rate,
+		Store: rng.IntN(4) == 0}
+	if rate == 0 {
+		s.Rate = math.Round(p.load * ratePerServer * float64(servers) * (0.7 + 0.6*rng.Float64()))
+	}
+	if err := s.checkWorld(); err != nil {
+		return s, err
+	}
+	n := length.Duration().Seconds() * math.Sqrt(float64(servers)) / p.every * (0.5 + rng.Float64())
+	for range min(max(int(n+rng.Float64()), 1), MaxFaults) {
+		s.Faults = append(s.Faults, s.Random(rng))
+	}
+	s.Sort()
+	return s, nil
+}
+
+// Random draws one fault by the script's profile, or of any kind where it has none.
+func (s *Script) Random(rng *rand.Rand) Fault {
+	weights := profiles[s.Profile].weight
+	if weights == nil {
+		weights = profiles["worst"].weight
+	}
+	all := make([]Kind, 0, len(weights))
+	total := 0
+	for k, w := range weights {
+		if !s.Store && (k == StoreSlow || k == StoreFail) || s.Proxies == 0 && kinds[k].node == "p" {
+			continue
+		}
+		all = append(all, k)
+		total += w
+	}
+	slices.Sort(all)
+	pick := rng.IntN(total)
+	for _, k := range all {
+		if pick -= weights[k]; pick < 0 {
+			return s.RandomOf(rng, k)
+		}
+	}
+	panic("faults: weights") // the sum above is of the same weights
+}
+
+// RandomOf draws one fault of a kind.
+func (s *Script) RandomOf(rng *rand.Rand, k Kind) Fault {
+	r := kinds[k]
+	f := Fault{Kind: k, At: micro.Time(rng.Int64N(int64(s.Length)+1)) / 1000 * 1000}
+	if r.peer {
+		f.Node, f.Peer = s.randomPair(rng, k)
+	} else if r.node != "" {
+		f.Node = s.randomNode(rng, r.node[0])
+	}
+	if r.length { // mostly short, at times longer than any deadline
+		f.For = micro.Time(math.Exp(rng.Float64()*math.Log(400))*50) * micro.Millisecond
+	}
+	if r.what != nil {
+		f.What = r.what[rng.IntN(len(r.what))]
+	}
+	switch k {
+	case Kill:
+		f.Amount = float64(rng.IntN(12))
+	case Slow, Costly, Flood:
+		f.Amount = math.Round(10*math.Exp(rng.Float64()*math.Log(8))) / 10
+	case Cut:
+		f.Amount = math.Floor(math.Exp(rng.Float64() * math.Log(8000)))
+	case Lag:
+		f.Amount = float64(1 + rng.IntN(800))
+	case Thin:
+		f.Amount = math.Floor(2000 * math.Exp(rng.Float64()*math.Log(50)))
+	case Lose, Double:
+		f.Amount = math.Round(100*rng.Float64()) / 100
+	case Hasty:
+		f.Amount = float64(1 + rng.IntN(2500))
+	case Table:
+		f.Amount = float64(rng.IntN(8))
+	case Strangers:
+		f.Amount = float64(1 + rng.IntN(60))
+	case StoreSlow:
+		f.Amount = float64(1 + rng.IntN(3000))
+	}
+	return f
+}
+
+func (s *Script) randomNode(rng *rand.Rand, letter byte) string {
+	n := map[byte]int{'s': s.Servers, 'w': s.Servers, 'p': s.Proxies, 'o': s.Offices}[letter]
+	return fmt.Sprintf("%c%d", letter, rng.IntN(max(n, 1)))
+}
+
+// randomPair draws two nodes that talk with each other.
+func (s *Script) randomPair(rng *rand.Rand, k Kind) (string, string) {
+	server := rng.IntN(s.Servers)
+	name := fmt.Sprintf("s%d", server)
+	if k == Lose || k == Double {
+		return name, "control"
+	}
+	peer := fmt.Sprintf("w%d", server)
+	switch n := rng.IntN(10); {
+	case n < 5 && s.Proxies > 0:
+		peer = s.randomNode(rng, 'p')
+	case n < 6 && s.Offices > 0:
+		peer = s.randomNode(rng, 'o')
+	}
+	if rng.IntN(2) == 0 {
+		return peer, name
+	}
+	return name, peer
+}
--- /dev/null
+++ b/internal/virtual/net.go
@@ -0,0 +1,613 @@
+package virtual
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"strings"
+
+	"pewterline/internal/micro"
+)
+
+const (
+	segmentMost = 16 << 10 // bytes that arrive at once
+	window      = 64 << 10 // bytes under way or unread in one direction, before a sender has to keep the rest
+	dialMost    = micro.Second
+)
+
+// What may become of a connect.
+var (
+	ErrRefused = errors.New("connection refused")
+	ErrTimeout = errors.New("connect timed out")
+)
+
+// Quality is how good a path between two nodes is.
+type Quality struct {
+	Latency   micro.Time // one way
+	Jitter    micro.Time // added at random, up to this
+	Bandwidth int        // bytes a second in each direction; 0: no bound
+	Loss      float64    // chance of a datagram
+	Double    float64    // chance of a datagram
+}
+
+// Path is the way between two nodes. Faults change it.
+type Path struct {
+	Quality
+	StalledUntil micro.Time // nothing passes before, and nothing is lost
+	LostUntil    micro.Time // connects and datagrams get no answer before
+}
+
+// EventKind is what a tap sees.
+type EventKind uint8
+
+// The kinds of event.
+const (
+	Opened  EventKind = iota // a connection that Node dialled has reached Peer at Addr
+	Written                  // Node has handed Bytes to the network
+	Arrived                  // Bytes have reached Node's machine
+	Ended                    // Node has no more of the connection; Why tells
+	Packet                   // a datagram with Bytes has reached Node
+)
+
+// Why tells how an end of a connection came about.
+type Why uint8
+
+// The ways to end.
+const (
+	ByItself Why = iota // Node closed it
+	ByReset             // a reset came, or Node sent one
+	ByKill              // Node's process is gone
+	ByCut               // a fault of the network
+)
+
+// Event is one thing that a tap sees: bytes and times, and nothing else.
+type Event struct {
+	At     micro.Time
+	Kind   EventKind
+	Conn   uint64 // the same for both ends
+	Node   string
+	Life   int // of Node
+	Peer   string
+	Addr   string
+	Dialer bool // Node is the one that dialled
+	Why    Why
+	Bytes  []byte // lent
+}
+
+// Net joins nodes.
+type Net struct {
+	w         *World
+	Default   Quality
+	Tap       func(Event) // nil: none
+	nodes     map[string]*Node
+	paths     map[[2]string]*Path
+	listeners map[string]*Listener
+	conns     uint64
+}
+
+// NewNet returns a network without nodes.
+func NewNet(w *World, q Quality) *Net {
+	return &Net{w: w, Default: q, nodes: map[string]*Node{}, paths: map[[2]string]*Path{}, listeners: map[string]*Listener{}}
+}
+
+// World is the clock below.
+func (n *Net) World() *World { return n.w }
+
+// Path is the way between two nodes, in either direction.
+func (n *Net) Path(a, b string) *Path {
+	if a > b {
+		a, b = b, a
+	}
+	p := n.paths[[2]string{a, b}]
+	if p == nil {
+		p = &Path{Quality: n.Default}
+		n.paths[[2]string{a, b}] = p
+	}
+	return p
+}
+
+// Node is a machine with one process at a time.
+type Node struct {
+	Name    string
+	Life    int // of its process, from 1 on
+	MaxOpen int // connections that it can hold; one more waits to be accepted
+	net     *Net
+	up      bool
+	ends    []*End // open, in no order that a map gives
+	waiting []*End // for room
+}
+
+// Node returns the node of a name, which is made at first.
+func (n *Net) Node(name string) *Node {
+	if n.nodes[name] == nil {
+		n.nodes[name] = &Node{Name: name, net: n, MaxOpen: math.MaxInt}
+	}
+	return n.nodes[name]
+}
+
+// Boot starts the node's process anew.
+func (n *Node) Boot() {
+	n.up = true
+	n.Life++
+}
+
+// Up tells whether its process runs.
+func (n *Node) Up() bool { return n.up }
+
+// Open counts its connections.
+func (n *Node) Open() int { return len(n.ends) }
+
+// Kill ends the process. What was handed to the network still arrives, unless the machine goes with it: then peers
+// hear nothing.
+func (n *Node) Kill(machine bool) {
+	if !n.up {
+		return
+	}
+	n.up = false
+	for a, l := range n.net.listeners {
+		if l.node == n {
+			delete(n.net.listeners, a) // in any order: each by itself
+		}
+	}
+	for len(n.ends) > 0 {
+		e := n.ends[len(n.ends)-1]
+		e.unsent = nil // it lay in the process
+		if machine {
+			e.flight = nil
+			e.end(ByKill)
+			continue
+		}
+		e.finish(ByKill)
+	}
+	n.waiting = nil
+}
+
+// Listener is where connections and datagrams come to.
+type Listener struct {
+	node     *Node
+	addr     string
+	Accept   func(*End) Handler // nil Handler: the connection is closed
+	Datagram func(from string, p []byte)
+	host     *Host
+	index    int
+}
+
+// Listen opens an address of the node's. One that is taken is an error.
+func (n *Node) Listen(addr string, l Listener) (*Listener, error) {
+	if n.net.listeners[addr] != nil {
+		return nil, fmt.Errorf("virtual: %s: address in use", addr)
+	}
+	l.node, l.addr = n, addr
+	n.net.listeners[addr] = &l
+	return &l, nil
+}
+
+// Close closes the address; open connections go on.
+func (l *Listener) Close() {
+	if l.node.net.listeners[l.addr] == l {
+		delete(l.node.net.listeners, l.addr)
+	}
+}
+
+// Handler is what an end of a stream is for.
+type Handler interface {
+	Data(e *End, p []byte) // p is lent
+	EOF(e *End)            // the peer sends no more
+	Gone(e *End)           // the connection was reset
+}
+
+// segment is bytes under way; fin marks the end of the stream, reset its breaking.
+type segment struct {
+	at         micro.Time
+	data       []byte
+	fin, reset bool
+}
+
+// End is one of the two ends of a stream.
+type End struct {
+	node    *Node
+	life    int
+	peer    *End
+	conn    uint64
+	addr    string // that was dialled
+	dialer  bool
+	handler Handler
+	host    *hostConn // in place of a handler
+	place   int       // among the node's
+	path    *Path
+	unsent  []byte
+	sent    int // bytes under way or unread at the peer
+	flight  []segment
+	timer   *Timer
+	last    micro.Time // when the last segment arrives
+	cut     int        // bytes until the connection is reset under way; -1: never
+	fin     bool       // no more is sent
+	open    bool
+	unread  []byte // by a host
+	eof     bool   // and nothing follows
+	reset   bool
+	holding bool // a reader that takes nothing for now; see Hold
+}
+
+// Conn numbers the connection; both ends have the same.
+func (e *End) Conn() uint64 { return e.conn }
+
+// Peer names the other node.
+func (e *End) Peer() string { return e.peer.node.Name }
+
+// Addr is what was dialled.
+func (e *End) Addr() string { return e.addr }
+
+// IsOpen tells whether this end is still of use.
+func (e *End) IsOpen() bool { return e.open }
+
+// Dial connects to an address; done is called once, with an end or an error. Where the handler is nil, done gives
+// it by SetHandler.
+func (n *Node) Dial(addr string, done func(*End, error)) {
+	w, life := n.net.w, n.Life
+	answer := func(d micro.Time, e *End, err error) {
+		w.In(d, func() {
+			if !n.up || n.Life != life {
+				if e != nil {
+					e.finish(ByKill)
+				}
+				return
+			}
+			done(e, err)
+		})
+	}
+	host, _, _ := strings.Cut(addr, "/")
+	to := n.net.nodes[host]
+	if to == nil { // nobody holds this address
+		answer(dialMost, nil, ErrTimeout)
+		return
+	}
+	p := n.net.Path(n.Name, host)
+	if p.LostUntil > w.now || p.StalledUntil > w.now+dialMost {
+		answer(dialMost, nil, ErrTimeout)
+		return
+	}
+	w.At(max(w.now, p.StalledUntil)+n.net.delay(p), func() {
+		l := n.net.listeners[addr]
+		if l == nil || !to.up {
+			answer(p.Latency, nil, ErrRefused)
+			return
+		}
+		if !n.up || n.Life != life {
+			return
+		}
+		n.net.conns++
+		ours := &End{node: n, life: life, conn: n.net.conns, addr: addr, dialer: true, path: p, cut: -1, open: true}
+		theirs := &End{node: to, life: to.Life, conn: n.net.conns, addr: addr, path: p, cut: -1, open: true}
+		ours.peer, theirs.peer = theirs, ours
+		n.seat(ours)
+		n.net.tap(ours, Event{Kind: Opened})
+		if len(to.ends) >= to.MaxOpen { // it is held in the backlog, as a full table of descriptors does
+			theirs.holding = true
+			to.waiting = append(to.waiting, theirs)
+		} else {
+			to.take(l, theirs)
+		}
+		answer(p.Latency, ours, nil)
+	})
+}
+
+func (n *Node) seat(e *End) {
+	e.place = len(n.ends)
+	n.ends = append(n.ends, e)
+}
+
+// take accepts a connection.
+func (n *Node) take(l *Listener, e *End) {
+	n.seat(e)
+	e.holding = false
+	if l.host != nil {
+		l.host.accept(l, e)
+		return
+	}
+	if e.handler = l.Accept(e); e.handler == nil {
+		e.Close()
+	}
+}
+
+// room accepts what waits, as far as there is room now.
+func (n *Node) room() {
+	for len(n.waiting) > 0 && len(n.ends) < n.MaxOpen && n.up {
+		e := n.waiting[0]
+		n.waiting = n.waiting[1:]
+		l := n.net.listeners[e.addr]
+		if !e.open || l == nil {
+			e.Reset()
+			continue
+		}
+		n.take(l, e)
+		if e.host == nil {
+			e.read()
+		}
+	}
+}
+
+// SetMaxOpen bounds the node's connections from now on.
+func (n *Node) SetMaxOpen(most int) {
+	n.MaxOpen = most
+	n.room()
+}
+
+// SetHandler says what the end is for.
+func (e *End) SetHandler(h Handler) {
+	e.handler = h
+	e.read()
+}
+
+func (n *Net) delay(p *Path) micro.Time {
+	d := p.Latency
+	if p.Jitter > 0 {
+		d += micro.Time(n.w.rng.Int64N(int64(p.Jitter)))
+	}
+	return d
+}
+
+func (n *Net) tap(e *End, v Event) {
+	v.At, v.Conn, v.Node, v.Life, v.Peer, v.Addr, v.Dialer = n.w.now, e.conn, e.node.Name, e.life, e.peer.node.Name, e.addr, e.dialer
+	n.w.Note(v.Node, v.Bytes)
+	if n.Tap != nil {
+		n.Tap(v)
+	}
+}
+
+// Write hands p to the network. What the peer does not take yet is kept.
+func (e *End) Write(p []byte) {
+	if !e.open || e.fin || len(p) == 0 {
+		return
+	}
+	e.node.net.tap(e, Event{Kind: Written, Bytes: p})
+	e.unsent = append(e.unsent, p...)
+	e.pump()
+}
+
+// Unsent counts the bytes that are kept.
+func (e *End) Unsent() int { return len(e.unsent) }
+
+func (e *End) pump() {
+	for len(e.unsent) > 0 && e.sent < window {
+		n := min(segmentMost, window-e.sent, len(e.unsent))
+		if e.cut >= 0 {
+			n = min(n, e.cut)
+		}
+		e.sent += n
+		e.send(segment{data: append([]byte(nil), e.unsent[:n]...)})
+		e.unsent = e.unsent[:copy(e.unsent, e.unsent[n:])]
+		if e.cut >= 0 {
+			if e.cut -= n; e.cut == 0 { // what goes before the cut arrives, then both ends break
+				e.cut, e.unsent = -1, nil
+				e.send(segment{reset: true})
+				return
+			}
+		}
+	}
+	if len(e.unsent) == 0 && e.fin {
+		e.send(segment{fin: true})
+	}
+}
+
+func (e *End) send(s segment) {
+	net := e.node.net
+	s.at = max(net.w.now+net.delay(e.path), e.last)
+	if bw := e.path.Bandwidth; bw > 0 {
+		s.at += micro.Time(len(s.data)) * micro.Second / micro.Time(bw)
+	}
+	e.last = s.at
+	e.flight = append(e.flight, s)
+	if len(e.flight) == 1 {
+		e.arm()
+	}
+}
+
+func (e *End) arm() {
+	e.timer = e.node.net.w.At(max(e.flight[0].at, e.path.StalledUntil), e.arrive)
+}
+
+// arrive has what is due reach the peer's machine.
+func (e *End) arrive() {
+	w := e.node.net.w
+	if e.path.StalledUntil > w.now {
+		e.arm()
+		return
+	}
+	for len(e.flight) > 0 && e.flight[0].at <= w.now {
+		s := e.flight[0]
+		e.flight = e.flight[1:]
+		e.peer.receive(s)
+	}
+	if len(e.flight) > 0 {
+		e.arm()
+	} else {
+		e.flight = nil
+	}
+}
+
+func (e *End) receive(s segment) {
+	switch {
+	case s.reset:
+		e.broken(ByCut)
+		e.peer.broken(ByCut)
+		return
+	case !e.open:
+		if len(s.data) > 0 { // nobody is there to read it
+			e.peer.Reset()
+		}
+		return
+	case s.fin:
+		e.eof = true
+	default:
+		e.node.net.tap(e, Event{Kind: Arrived, Bytes: s.data})
+		e.unread = append(e.unread, s.data...)
+	}
+	e.read()
+}
+
+// Hold has the end take nothing for a while, or go on: a reader that is slow.
+func (e *End) Hold(on bool) {
+	e.holding = on
+	e.read()
+}
+
+// read hands on what has arrived.
+func (e *End) read() {
+	if e.host != nil {
+		e.host.rouse()
+		return
+	}
+	if e.handler == nil || e.holding || !e.open {
+		return
+	}
+	if n := len(e.unread); n > 0 {
+		p := e.unread
+		e.unread = nil
+		e.handler.Data(e, p)
+		e.took(n)
+		if e.unread == nil && e.open {
+			e.unread = p[:0]
+		}
+	}
+	if e.eof && e.open && len(e.unread) == 0 {
+		e.eof = false
+		e.handler.EOF(e)
+	}
+}
+
+// took makes room in the window for what was read.
+func (e *End) took(n int) {
+	e.peer.sent -= n
+	if e.peer.open || e.peer.fin {
+		e.peer.pump2()
+	}
+}
+
+// pump2 goes on with what was kept, and does not send the end of the stream twice.
+func (e *End) pump2() {
+	if len(e.unsent) > 0 {
+		e.pump()
+	}
+}
+
+// CutAfter has the connection break once so many more bytes have been sent from this end; 0: now.
+func (e *End) CutAfter(n int) {
+	if n <= 0 {
+		e.broken(ByCut)
+		e.peer.broken(ByCut)
+		return
+	}
+	e.cut = n
+}
+
+// Close ends the stream from this side. Where something has arrived unread, that is a reset, as with TCP.
+func (e *End) Close() { e.finish(ByItself) }
+
+// CloseWrite sends the end of the stream, and goes on reading.
+func (e *End) CloseWrite() {
+	if e.open && !e.fin {
+		e.fin = true
+		if len(e.unsent) == 0 {
+			e.send(segment{fin: true})
+		}
+	}
+}
+
+func (e *End) finish(why Why) {
+	if !e.open {
+		return
+	}
+	if len(e.unread) > 0 {
+		e.resetAs(why)
+		return
+	}
+	fin := e.fin
+	e.fin = true
+	e.end(why)
+	if !fin && len(e.unsent) == 0 {
+		e.send(segment{fin: true})
+	}
+}
+
+// Reset breaks the connection: the peer hears of it, and what is under way to it is lost.
+func (e *End) Reset() { e.resetAs(ByReset) }
+
+func (e *End) resetAs(why Why) {
+	if !e.open {
+		return
+	}
+	e.end(why)
+	e.flight, e.unsent = nil, nil
+	e.timer.Stop()
+	peer := e.peer
+	e.node.net.w.At(max(e.node.net.w.now, e.path.StalledUntil)+e.path.Latency, func() { peer.broken(ByReset) })
+}
+
+// broken says that the connection was reset from elsewhere.
+func (e *End) broken(why Why) {
+	if !e.open {
+		return
+	}
+	e.reset, e.flight, e.unsent, e.unread = true, nil, nil, nil
+	e.timer.Stop()
+	if e.host != nil {
+		e.node.net.tap(e, Event{Kind: Ended, Why: why})
+		e.host.rouse() // it hears in a turn of its own
+		return
+	}
+	e.end(why)
+	if e.handler != nil {
+		e.handler.Gone(e)
+	}
+}
+
+// end takes the end out of its node.
+func (e *End) end(why Why) {
+	if !e.open {
+		return
+	}
+	e.open = false
+	if !e.reset || e.host == nil {
+		e.node.net.tap(e, Event{Kind: Ended, Why: why})
+	}
+	n := e.node
+	if e.place < len(n.ends) && n.ends[e.place] == e {
+		last := n.ends[len(n.ends)-1]
+		n.ends[e.place], last.place = last, e.place
+		n.ends[len(n.ends)-1] = nil
+		n.ends = n.ends[:len(n.ends)-1]
+	}
+	n.room()
+}
+
+// Ends are the node's open connections, those that it dialled or that came to it.
+func (n *Node) Ends() []*End { return n.ends }
+
+// Send sends a datagram to an address.
+func (n *Node) Send(addr string, p []byte) {
+	host, _, _ := strings.Cut(addr, "/")
+	net, path := n.net, n.net.Path(n.Name, host)
+	times := 1
+	if path.Double > 0 && net.w.rng.Float64() < path.Double {
+		times = 2
+	}
+	if path.Loss > 0 && net.w.rng.Float64() < path.Loss || path.LostUntil > net.w.now {
+		times = 0
+	}
+	for range times {
+		data := append([]byte(nil), p...)
+		net.w.At(max(net.w.now, path.StalledUntil)+net.delay(path), func() {
+			l := net.listeners[addr]
+			if l == nil || !l.node.up || l.Datagram == nil {
+				return
+			}
+			v := Event{At: net.w.now, Kind: Packet, Node: l.node.Name, Life: l.node.Life, Peer: n.Name, Addr: addr, Bytes: data}
+			net.w.Note(v.Node, data)
+			if net.Tap != nil {
+				net.Tap(v)
+			}
+			l.Datagram(n.Name, data)
+		})
+	}
+}
