Never send an intake to the worker pool again that may have arrived

Now a link tells from its notices and polls which commands have arrived, these are not sent again, and an intake that was sent and is not known to have arrived waits for its notice; without one it has failed when nobody could want it any more.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -153,6 +153,9 @@
 	for _, a := range s.offices.items {
 		next = min(next, a.check(now))
 	}
+	if s.pool != nil && len(s.pool.doubts) > 0 {
+		next = min(next, s.pool.check(now))
+	}
 	if s.backends != nil {
 		next = min(next, s.backends.check(now))
 	}
--- a/internal/edge/pool.go
+++ b/internal/edge/pool.go
@@ -22,6 +22,9 @@
 	drop   func()         // gives up the link that is being dialled; nil while none is
 	synced bool           // the missed notices of this link have been read
 	links  int            // opened so far; names the poll that marks their end
+	acked  map[int]int    // by link: the run up to which what was sent on it is known to have arrived
+	polled []int          // for each poll without an answer on this link: the last run sent before it
+	doubts []*poolRun     // runs that nobody knows of, by when they are given up
 	notice uint64
 	runs   map[string]*poolRun
 	order  int
@@ -31,12 +34,16 @@
 // poolRun is a run that has not ended.
 type poolRun struct {
 	routing.Run
-	order   int
+	order   int  // of its start, until it is sent; then of that
 	link    int  // the link it was last sent on; 0: never
+	arrived bool // it is known that the pool has read it
+	doubted bool
 	stopped bool // its answer is no longer wanted
 }
 
-func newPoolLink(s *Server) *poolLink { return &poolLink{s: s, runs: map[string]*poolRun{}} }
+func newPoolLink(s *Server) *poolLink {
+	return &poolLink{s: s, runs: map[string]*poolRun{}, acked: map[int]int{}}
+}
 
 // dial opens a new link, in place of any that is still being dialled. The link in use, if there is one, serves on
 // until the new one is open.
@@ -51,7 +58,7 @@
 	if p.conn != nil {
 		p.conn.Close() // a new configuration has replaced it
 	}
-	p.conn, p.synced, p.drop = c, false, nil
+	p.conn, p.synced, p.drop, p.polled = c, false, nil, nil
 	p.links++
 	seen := p.notice
 	if planted.Bug(planted.NoticesPast) && seen > 0 {
@@ -86,7 +93,8 @@
 }
 
 func (p *poolLink) send(r *poolRun) {
-	r.link = p.links
+	p.order++ // its place in the order of sending, by which acked tells what has arrived
+	r.order, r.link = p.order, p.links
 	p.write(pool.AppendSpawn(p.out[:0], r.ID, r.Class, r.Body))
 	if r.stopped {
 		p.write(pool.AppendSuspend(p.out[:0], r.ID))
@@ -112,6 +120,7 @@
 // Poll is part of routing.Runner.
 func (p *poolLink) Poll() {
 	if p.synced {
+		p.polled = append(p.polled, p.order)
 		p.write(pool.AppendPoll(p.out[:0], "g"))
 	}
 }
@@ -174,11 +183,15 @@
 			return // read already on the link before
 		}
 		p.notice = m.Notice
-		if p.runs[m.ID] != nil {
+		if r := p.runs[m.ID]; r != nil {
+			p.acked[r.link] = max(p.acked[r.link], r.order) // commands are read in the order they were sent
 			delete(p.runs, m.ID)
 			p.s.core.Finished(m.ID, poolEnds[m.End], p.keep(m.Result))
 		}
 	case pool.Polled:
+		if m.Tag == "g" && len(p.polled) > 0 {
+			p.acked[p.links], p.polled = max(p.acked[p.links], p.polled[0]), p.polled[1:]
+		}
 		if m.Tag == p.syncTag() && !p.synced {
 			p.resync()
 		}
@@ -196,11 +209,52 @@
 }
 
 // resync sends what has no notice yet, oldest first. Guards against both faults of a broken link: a command
-// lost with it, and one sent again for a run whose notice was on its way.
+// lost with it, and one sent again for a run whose notice was on its way. What is known to have arrived is not sent
+// again. Nor is a run that must not be run twice, once it was sent at all: between the end of the missed notices and
+// our command the run may end, and the pool would run it anew. Its notice comes if it arrived; if none comes while
+// anybody could want it, the run's outcome is not known, and it has failed.
 func (p *poolLink) resync() {
 	p.synced = true
 	byOrder := func(a, b *poolRun) int { return cmp.Compare(a.order, b.order) }
 	for _, r := range slices.SortedFunc(maps.Values(p.runs), byOrder) {
-		p.send(r)
+		r.arrived = r.arrived || r.link > 0 && r.order <= p.acked[r.link]
+		switch {
+		case r.link == 0 || !r.arrived && !r.Once:
+			p.send(r)
+		case !r.arrived && !r.doubted:
+			r.doubted = true
+			p.doubts = append(p.doubts, r)
+			fallthrough
+		default:
+			if r.stopped {
+				p.write(pool.AppendSuspend(p.out[:0], r.ID))
+			}
+		}
+	}
+	for link := range p.acked { // those before have told all they can
+		if link != p.links {
+			delete(p.acked, link)
+		}
+	}
+}
+
+// check gives up runs that nobody knows of; it returns when to look again.
+func (p *poolLink) check(now micro.Time) micro.Time {
+	next, left := micro.Never, p.doubts[:0]
+	for _, r := range p.doubts {
+		switch {
+		case p.runs[r.ID] != r: // its notice has come
+		case r.Due <= now:
+			p.s.logf("pool: %s: whether it ran is not known", r.ID)
+			delete(p.runs, r.ID)
+			p.s.core.Finished(r.ID, routing.Errored, nil)
+			next = now
+		default:
+			next = min(next, r.Due)
+			left = append(left, r)
+		}
 	}
+	clear(p.doubts[len(left):])
+	p.doubts = left
+	return next
 }
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -60,6 +60,8 @@
 	ID    string
 	Class string
 	Body  []byte
+	Once  bool       // it must not be run twice
+	Due   micro.Time // by then nobody waits for its end any more
 }
 
 // Runner does the work. Each Start is followed by one Core.Finished, whatever happens to the runner's links.
@@ -349,7 +351,14 @@
 		return
 	}
 	r.state = running
-	c.runner.Start(Run{ID: r.RunID, Class: c.settings.Classes[r.Class].Name, Body: r.Body})
+	c.start(r)
+}
+
+// start hands a try to the runner. Its end is of use as long as a repeat could come for it.
+func (c *Core) start(r *request) {
+	k := c.settings.Classes[r.Class]
+	c.runner.Start(Run{ID: r.RunID, Class: k.Name, Body: r.Body, Once: r.key != nil,
+		Due: r.At + micro.Of(max(k.Deadline, k.Window))})
 }
 
 func (c *Core) refuse(r *request, a control.Refuse) {
@@ -449,7 +458,7 @@
 	r.RunID, r.Body = w.RunID, w.Body
 	// The waiter stays joined and is answered with the run; its RunID now leads to the run.
 	c.runs[r.RunID] = r
-	c.runner.Start(Run{ID: r.RunID, Class: c.settings.Classes[r.Class].Name, Body: r.Body})
+	c.start(r)
 	return true
 }
 
--- a/internal/standin/caller.go
+++ b/internal/standin/caller.go
@@ -145,13 +145,13 @@
 // Deaf has it read nothing until a time.
 func (c *Caller) Deaf(until micro.Time) {
 	c.deafUntil = max(c.deafUntil, until)
-	for _, k := range c.conns {
+	for _, k := range slices.Clone(c.conns) {
 		if k.e != nil {
 			k.e.Hold(true)
 		}
 	}
 	c.st.W.At(until, func() {
-		for _, k := range c.conns {
+		for _, k := range slices.Clone(c.conns) {
 			if k.e != nil && !k.ended && c.deafUntil <= c.st.W.Now() {
 				k.e.Hold(false)
 			}
--- a/internal/virtual/net.go
+++ b/internal/virtual/net.go
@@ -227,6 +227,7 @@
 	eof     bool   // and nothing follows
 	reset   bool
 	holding bool // a reader that takes nothing for now; see Hold
+	backlog bool // its node has no room for it yet
 }
 
 // Conn numbers the connection; both ends have the same.
@@ -283,7 +284,7 @@
 		n.seat(ours)
 		n.net.tap(ours, Event{Kind: Opened})
 		if len(to.ends) >= to.MaxOpen { // it is held in the backlog, as a full table of descriptors does
-			theirs.holding = true
+			theirs.backlog = true
 			to.waiting = append(to.waiting, theirs)
 		} else {
 			to.take(l, theirs)
@@ -300,7 +301,12 @@
 // take accepts a connection.
 func (n *Node) take(l *Listener, e *End) {
 	n.seat(e)
-	e.holding = false
+	if e.backlog { // only now it is accepted, with what has come before
+		e.backlog = false
+		if len(e.unread) > 0 {
+			n.net.tap(e, Event{Kind: Arrived, Bytes: e.unread})
+		}
+	}
 	if l.host != nil {
 		l.host.accept(l, e)
 		return
@@ -440,7 +446,9 @@
 	case s.fin:
 		e.eof = true
 	default:
-		e.node.net.tap(e, Event{Kind: Arrived, Bytes: s.data})
+		if !e.backlog {
+			e.node.net.tap(e, Event{Kind: Arrived, Bytes: s.data})
+		}
 		e.unread = append(e.unread, s.data...)
 	}
 	e.read()
