--- a/control/control.go
+++ b/control/control.go
@@ -555,7 +555,7 @@
 
 // barred says that r cannot be run here whatever waits.
 func (c *Controller) barred(r *request) bool {
-	k, late := c.classes[r.Class], r.at > c.drainAt+c.s.DrainGrace || c.now+c.serviceOf(r) > c.stop
+	k, late := c.classes[r.Class], r.at+r.Age > c.drainAt+c.s.DrainGrace || c.now+c.serviceOf(r) > c.stop
 	return c.drained && late || c.sick != "" && (k.Effect != Safe || len(k.line) > 1)
 }
 
--- a/control/guards_test.go
+++ b/control/guards_test.go
@@ -566,3 +566,17 @@
 		}
 	}
 }
+
+// Guards the drain against a link that stalled: what is read past the limit does not run, however long before it was
+// asked. Found by the hunt over fault scripts, seed 2172 of worst.
+func TestReadPastTheDrainLimitNeverRuns(t *testing.T) {
+	c := testController(t, func(s *Settings) { s.DrainGrace = 2500 * time.Millisecond })
+	c.Step(0, []Event{Drain{Stop: 10 * time.Second}})
+	if n := count[Run](c.Step(2400*time.Millisecond, []Event{Arrive{ID: 1, HeldKB: 1}})); n != 1 {
+		t.Errorf("read within the limit: %d runs", n)
+	}
+	as := c.Step(2600*time.Millisecond, []Event{Arrive{ID: 2, HeldKB: 1, Age: time.Second}, Arrive{ID: 3, HeldKB: 1}})
+	if n, refused := count[Run](as), count[Refuse](as); n != 0 || refused != 2 {
+		t.Errorf("read past the limit: %d runs, %d refusals", n, refused)
+	}
+}
--- a/internal/decide/search/search.go
+++ b/internal/decide/search/search.go
@@ -4,6 +4,7 @@
 package search
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 
@@ -15,7 +16,9 @@
 	freshShare = 0.25 // of the scripts drawn anew though there are others to change
 	keptMost   = 400  // scripts kept to be changed
 	changeMost = 5    // changes to a script at once
-	stepsMost  = 40   // faults that a changed script may have more than a drawn one
+	stepsMost  = 12   // faults that a changed script may have more than the one it comes from
+	faultsMost = 60   // and in all
+	firstMost  = 24   // situations by which a kept script is valued
 )
 
 // Situation names something that a run has reached, such as a fault of one kind while a request was in one state.
@@ -35,9 +38,9 @@
 
 // kept is a script with what it reached.
 type kept struct {
-	script  faults.Script
-	reached []Situation
-	played  int // how often it was changed
+	script faults.Script
+	first  []Situation // that it was the first to reach, as far as they are kept
+	played int         // how often it was changed
 }
 
 // NewGuided returns a search that draws fresh scripts by draw, from the seed first on.
@@ -70,21 +73,24 @@
 // Learn takes what a script has reached. It is kept where something was new.
 func (g *Guided) Learn(s faults.Script, reached []Situation) (fresh int) {
 	reached = slices.Compact(slices.Sorted(slices.Values(reached)))
+	var first []Situation
 	for _, x := range reached {
 		if g.seen[x] == 0 {
-			fresh++
+			if fresh++; len(first) < firstMost {
+				first = append(first, x)
+			}
 		}
 		g.seen[x]++
 	}
 	if fresh == 0 {
 		return 0
 	}
-	g.kept = append(g.kept, kept{script: s.Clone(), reached: reached})
+	g.kept = append(g.kept, kept{script: s.Clone(), first: first})
 	if len(g.kept) > keptMost { // the one whose situations are the commonest goes
-		least := 0
+		least, lowest := 0, math.Inf(1)
 		for i := range g.kept {
-			if g.worth(&g.kept[i]) < g.worth(&g.kept[least]) {
-				least = i
+			if w := g.worth(&g.kept[i]); w < lowest {
+				least, lowest = i, w
 			}
 		}
 		g.kept = slices.Delete(g.kept, least, least+1)
@@ -95,12 +101,12 @@
 // worth is high for a script that reaches what few others do, and falls as it is changed again and again.
 func (g *Guided) worth(k *kept) float64 {
 	rarest, sum := 0.0, 0.0
-	for _, x := range k.reached {
+	for _, x := range k.first {
 		w := 1 / float64(g.seen[x])
 		rarest = max(rarest, w)
-		sum += w * w
+		sum += w
 	}
-	return (rarest + sum) / (1 + float64(k.played)/4)
+	return (rarest + sum/firstMost) / (1 + float64(k.played)/4)
 }
 
 // pick draws a kept script by its worth.
@@ -121,7 +127,7 @@
 // change returns a script near s. It always passes Check if s does.
 func (g *Guided) change(from faults.Script) faults.Script {
 	s := from.Clone()
-	most := len(from.Faults) + stepsMost
+	most := min(len(from.Faults)+stepsMost, faultsMost)
 	for range 1 + g.rng.IntN(changeMost) {
 		n := len(s.Faults)
 		pick := 0
--- a/internal/edge/pool.go
+++ b/internal/edge/pool.go
@@ -219,7 +219,7 @@
 	for _, r := range slices.SortedFunc(maps.Values(p.runs), byOrder) {
 		r.arrived = r.arrived || r.link > 0 && r.order <= p.acked[r.link]
 		switch {
-		case r.link == 0 || !r.arrived && !r.Once:
+		case r.link == 0 || !r.arrived && !r.Once || planted.Bug(planted.SentBefore):
 			p.send(r)
 		case !r.arrived && !r.doubted:
 			r.doubted = true
--- a/internal/lab/happen.go
+++ b/internal/lab/happen.go
@@ -28,7 +28,7 @@
 			s.kill(false, f.For)
 		} else if !s.host.Ended {
 			s.back = f.For
-			s.host.KillIn(int(f.Amount), func() { s.gone(false) })
+			s.host.KillIn(int(f.Amount), func() { s.gone(false, false) })
 		}
 	case faults.Vanish:
 		s.kill(true, f.For)
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -34,7 +34,7 @@
 
 const (
 	stopAfter = 3200 * micro.Millisecond
-	sockets   = 120
+	sockets   = 72 // few, so that tables fill
 	memory    = 32 << 20
 	officeMax = 48
 	afterward = 20 * micro.Second // the run goes on for after the last job
@@ -123,7 +123,7 @@
 	l.net = virtual.NewNet(l.w, virtual.Quality{Latency: 500, Jitter: 300, Bandwidth: 50 << 20})
 	l.obs = rules.New(l.w, rules.Rules{Settings: set, Grace: ms(figures.Rules.Grace), DrainMost: ms(figures.Rules.Stop), Cores: set.Cores,
 		Fall: figures.Rules.Fall, FallOver: ms(figures.Rules.TipMS), MemoryKB: figures.Extra.Memory, RunFactor: figures.Extra.Factor,
-		ColdFrom: figures.Rules.ColdFrom, Ramp: ms(figures.Rules.RampMS)})
+		ColdFrom: figures.Rules.ColdFrom, Ramp: ms(figures.Rules.RampMS), Store: script.Store})
 	l.net.Tap = l.obs.Tap
 	l.w.After = l.obs.Check
 	l.st = standin.NewStage(l.net, set, script.Seed)
@@ -271,7 +271,7 @@
 			panic(err) // the life before has closed them
 		}
 	}
-	s.host.OnStop = func() { s.gone(true) }
+	s.host.OnStop = func() { s.gone(true, false) }
 	l.st.Control.List(s.name)
 }
 
@@ -289,11 +289,11 @@
 }
 
 // gone takes down what goes with the process, and plans the next life.
-func (s *server) gone(itself bool) {
+func (s *server) gone(itself, machine bool) {
 	l := s.l
 	l.turns += s.host.Turns()
 	l.obs.Gone(s.name, itself)
-	s.pool.Kill(false)
+	s.pool.Kill(machine)
 	l.log("%s is gone, itself %v", s.name, itself)
 	l.w.In(max(s.back, micro.Millisecond), func() { s.boot(true) })
 }
@@ -305,7 +305,7 @@
 	}
 	s.back = away
 	s.host.Kill(machine)
-	s.gone(false)
+	s.gone(false, machine)
 }
 
 // term sends the notice to leave; the process is killed when its time is up.
@@ -315,13 +315,22 @@
 	}
 	s.leaving, s.back = true, away
 	host, srv, l := s.host, s.srv, s.l
+	if host.PausedUntil() > l.w.Now() { // a signal reaches a process that stands still when it goes on
+		l.w.At(host.PausedUntil(), func() {
+			if !host.Ended {
+				s.leaving = false
+				s.term(away)
+			}
+		})
+		return
+	}
 	l.obs.Noticed(s.name)
 	_ = host.Queue(func() {}) // the signal wakes the process
 	_ = host.Loop().Execute(func() { srv.Drain(l.w.Now()) })
 	l.w.In(stopAfter, func() {
 		if !host.Ended {
 			s.host.Kill(false)
-			s.gone(true)
+			s.gone(true, false)
 		}
 	})
 }
--- a/internal/planted/planted.go
+++ b/internal/planted/planted.go
@@ -18,9 +18,9 @@
 	RoomOpen        ID = "room-open"        // room is made by closing a connection with open requests
 	NoRedial        ID = "no-redial"        // a link refused twice is never dialled again
 	StrangerVouched ID = "stranger-vouched" // who has sent something valid is closed as a stranger all the same
-	SentBefore      ID = "sent-before"      // commands are sent again before the missed notices are read
+	SentBefore      ID = "sent-before"      // all commands are sent again, before the missed notices are read
 	LeaveOpen       ID = "leave-open"       // the drained program ends with requests unanswered
-	RefuseRun       ID = "refuse-run"       // a run that ends after its caller was told so is refused, not failed
+	RefuseRun       ID = "refuse-run"       // a run that is given up is refused, not failed
 )
 
 // All are the planted bugs in a fixed order.
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -381,6 +381,9 @@
 	if now >= r.At+micro.Of(c.settings.Classes[r.Class].Deadline)-lateBy {
 		a = Answer{Status: Expired, Reason: "past its deadline"}
 	}
+	if planted.Bug(planted.RefuseRun) && r.state == running {
+		a = Answer{Status: Refused, After: micro.Second}
+	}
 	c.answer(r, a)
 	if r.state != running {
 		c.forget(r)
@@ -478,9 +481,6 @@
 		c.answer(r, Answer{Status: Failed, Reason: "the runner does not take it"})
 	case Stopped:
 		outcome = control.OutcomeCancelled
-		if planted.Bug(planted.RefuseRun) {
-			c.answer(r, Answer{Status: Refused, After: micro.Second})
-		}
 		c.answer(r, Answer{Status: Failed, Reason: "the run was stopped"})
 	case Unneeded:
 		// The module takes no notice of a moot run, and would count it as running for ever; a cancelled one is
--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -47,6 +47,7 @@
 	RunFactor float64
 	ColdFrom  float64
 	Ramp      micro.Time
+	Store     bool // a store of record is on: what was answered outlives the server
 }
 
 // Violation is a broken rule, with all that was seen of the request.
@@ -89,6 +90,7 @@
 	audit   micro.Time
 	reached map[search.Situation]struct{}
 	faulty  []fault
+	stored  map[string]*run // by server and once-key: intakes answered as served, in any life
 }
 
 type fault struct {
@@ -116,7 +118,9 @@
 	crowd   float64 // integral of the running over the last FallOver
 	marks   []mark
 	ended   bool
-	linked  bool
+	links   int        // to its worker pool, open
+	notice  uint64     // the highest that has reached it
+	tried   micro.Time // when it last tried to reach its worker pool
 }
 
 type span struct{ from, to micro.Time }
@@ -180,6 +184,7 @@
 type conn struct {
 	kind      connKind
 	s         *server
+	got       []byte // of a worker pool's link, at the log server
 	in, out   []byte // read so far and not yet whole: to the server, from the server
 	open      map[int32]*request
 	hand      *request // AJP: the request in hand
@@ -195,7 +200,7 @@
 // New returns an observer of a world. Its Tap is for the network.
 func New(w *virtual.World, r Rules) *Observer {
 	o := &Observer{Rules: r, Most: 5, w: w, classes: map[string]int{}, servers: map[string]*server{}, conns: map[uint64]*conn{},
-		Answers: map[string]int{}, reached: map[search.Situation]struct{}{}}
+		Answers: map[string]int{}, stored: map[string]*run{}, reached: map[search.Situation]struct{}{}}
 	for i, c := range r.Settings.Classes {
 		o.classes[c.Name] = i
 	}
@@ -204,7 +209,7 @@
 
 // Boots says that a server starts, with a worker pool of its own.
 func (o *Observer) Boots(name string, life int) {
-	s := &server{name: name, life: life, born: o.w.Now(), noticed: micro.Never, reqs: map[string]*request{}, keys: map[string]*key{}, runs: map[string]*run{}}
+	s := &server{name: name, life: life, born: o.w.Now(), tried: o.w.Now(), noticed: micro.Never, reqs: map[string]*request{}, keys: map[string]*key{}, runs: map[string]*run{}}
 	if old := o.servers[name]; old != nil {
 		i := slices.Index(o.order, old)
 		o.order[i] = s
@@ -260,7 +265,7 @@
 			}
 		}
 	}
-	o.reach(s, fmt.Sprintf("at %s open%d run%d joined%d link%v drain%d life%d", kind, size(open), size(s.running), size(joined), s.linked,
+	o.reach(s, fmt.Sprintf("at %s open%d run%d joined%d link%v drain%d life%d", kind, size(open), size(s.running), size(joined), s.links > 0,
 		o.drainPhase(s), min(s.life, 3)))
 }
 
@@ -287,7 +292,7 @@
 	return 2
 }
 
-// reach notes a situation, alone and with each fault that is at work on the server and each pair of them.
+// reach notes a situation, alone and with each fault that is at work on the server.
 func (o *Observer) reach(s *server, what string) {
 	now := o.w.Now()
 	o.faulty = slices.DeleteFunc(o.faulty, func(f fault) bool { return f.until+2*micro.Second < now })
@@ -300,17 +305,9 @@
 		o.reached[search.Situation(h.Sum64())] = struct{}{}
 	}
 	add(what)
-	var at []string
 	for _, f := range o.faulty {
-		if f.server == s.name && !slices.Contains(at, f.kind) {
-			at = append(at, f.kind)
-		}
-	}
-	slices.Sort(at)
-	for i, a := range at {
-		add(what, a)
-		for _, b := range at[i+1:] {
-			add(what, a, b)
+		if f.server == s.name {
+			add(what, f.kind)
 		}
 	}
 }
@@ -374,6 +371,11 @@
 		return
 	case virtual.Packet:
 		return
+	case virtual.Tried:
+		if s := o.servers[v.Node]; s != nil && v.Peer[0] == 'w' {
+			s.tried = v.At
+		}
+		return
 	}
 	c := o.conns[v.Conn]
 	if c == nil || c.kind == other {
@@ -383,10 +385,10 @@
 	case virtual.Ended:
 		o.connEnded(c, v)
 	case virtual.Arrived:
-		if c.kind == link && v.Dialer || c.kind != link && !v.Dialer {
-			o.read(c, v.Bytes, c.kind != link)
-		} else if c.kind == link {
+		if c.kind == link && !v.Dialer || c.kind != link && !v.Dialer {
 			o.read(c, v.Bytes, true)
+		} else if c.kind == link {
+			o.reads(c, v.Bytes)
 		}
 	case virtual.Written:
 		// What the server writes counts from then on, and so does what the worker pool tells.
@@ -413,7 +415,7 @@
 		c.kind = other
 	}
 	if c.kind == link {
-		c.s.linked = true
+		c.s.links++
 		o.reach(c.s, "link up")
 	}
 	o.conns[v.Conn] = c
@@ -421,8 +423,8 @@
 
 func (o *Observer) connEnded(c *conn, v virtual.Event) {
 	if c.kind == link {
-		if v.Dialer && c.s.linked {
-			c.s.linked = false
+		if v.Dialer && c.s.links > 0 {
+			c.s.links--
 			o.reach(c.s, fmt.Sprintf("link down run%d", size(c.s.running)))
 		}
 		return
@@ -534,6 +536,23 @@
 	}
 }
 
+// reads looks at what reaches a log server from its worker pool, for the number of the last notice alone.
+func (o *Observer) reads(c *conn, p []byte) {
+	c.got = append(c.got, p...)
+	n := 0
+	for {
+		m, size, err := pool.Parse(c.got[n:])
+		if size == 0 || err != nil {
+			break
+		}
+		n += size
+		if m.Kind == pool.Finished {
+			c.s.notice = max(c.s.notice, m.Notice)
+		}
+	}
+	c.got = c.got[:copy(c.got, c.got[n:])]
+}
+
 func (o *Observer) called(c *conn, m thrift.Message) {
 	switch m.Method {
 	case thrift.GiveUp:
@@ -652,6 +671,9 @@
 		}
 	case "served":
 		o.judgeResult(s, r, result)
+		if k := s.keys[r.once]; o.Rules.Store && k != nil && len(k.runs) > 0 {
+			o.stored[s.name+"/"+r.once] = k.runs[len(k.runs)-1]
+		}
 	}
 }
 
@@ -701,6 +723,9 @@
 func (o *Observer) command(s *server, m pool.Command) {
 	switch m.Order {
 	case pool.Bind:
+		if m.Notice > s.notice {
+			o.report("result", s, nil, "notices passed over: bound after number %d, and %d is the last that came", m.Notice, s.notice)
+		}
 		if m.Notice > 0 {
 			o.reach(s, fmt.Sprintf("bound anew run%d", size(s.running)))
 		}
@@ -736,6 +761,9 @@
 		if prev := o.ranWithin(s, r); prev != nil && prev.id != m.ID {
 			o.report("duplicate", s, r, "run twice within its window: as %s and as %s", prev.id, m.ID)
 		}
+		if prev := o.stored[s.name+"/"+r.once]; prev != nil && len(s.keys[r.once].runs) == 0 && r.at < prev.at+o.window(r) {
+			o.report("duplicate", s, r, "run again though it is on record: as %s and as %s", prev.id, m.ID)
+		}
 		s.keys[r.once].runs = append(s.keys[r.once].runs, u)
 	}
 	if s.noticed != micro.Never && r.arrived > s.noticed+o.Rules.DrainMost+socketGrace {
@@ -862,8 +890,17 @@
 	return false
 }
 
-// auditServer looks at the memory booked and the crowd on the cores.
+// redialMost is how long a server without a link may go without trying: an attempt that times out, and a wait.
+const redialMost = 1700 * micro.Millisecond
+
+// auditServer looks at the link, the memory booked and the crowd on the cores.
 func (o *Observer) auditServer(s *server, now micro.Time) {
+	if s.links > 0 || s.pausedAt(now) || s.pausedAt(now-redialMost) || s.noticed != micro.Never {
+		s.tried = now
+	} else if now > s.tried+redialMost {
+		o.report("recovery", s, nil, "no try to reach the worker pool: for %v", (now - s.tried).Duration())
+		s.tried = now
+	}
 	booked := 0.0
 	s.open = slices.DeleteFunc(s.open, func(r *request) bool { return (r.answers > 0 || r.gaveUp || r.over || r.c.left) && !r.running })
 	for _, r := range s.open {
--- a/internal/virtual/host.go
+++ b/internal/virtual/host.go
@@ -32,6 +32,7 @@
 	woken   *Timer
 	next    *Timer // the turn to come
 	busy    micro.Time
+	paused  micro.Time
 	bytes   int
 	inTurn  bool
 	killIn  int // calls into the program, and writes of it, until it is killed; 0: never
@@ -73,7 +74,10 @@
 }
 
 // Pause has the program stand still until a time; its machine goes on taking what arrives.
-func (h *Host) Pause(until micro.Time) { h.busy = max(h.busy, until) }
+func (h *Host) Pause(until micro.Time) { h.busy, h.paused = max(h.busy, until), max(h.paused, until) }
+
+// PausedUntil is when it goes on; a past time where it does not stand still.
+func (h *Host) PausedUntil() micro.Time { return h.paused }
 
 // KillIn has the process killed after so many further calls into the program or writes of it, in the middle of
 // whatever it does then; done is called at that moment.
--- a/internal/virtual/net.go
+++ b/internal/virtual/net.go
@@ -47,6 +47,7 @@
 	Arrived                  // Bytes have reached Node's machine
 	Ended                    // Node has no more of the connection; Why tells
 	Packet                   // a datagram with Bytes has reached Node
+	Tried                    // Node tries to connect to Addr
 )
 
 // Why tells how an end of a connection came about.
@@ -154,6 +155,7 @@
 		e.unsent = nil // it lay in the process
 		if machine {
 			e.flight = nil
+			e.timer.Stop()
 			e.end(ByKill)
 			continue
 		}
@@ -258,6 +260,9 @@
 		})
 	}
 	host, _, _ := strings.Cut(addr, "/")
+	if n.net.Tap != nil {
+		n.net.Tap(Event{At: w.now, Kind: Tried, Node: n.Name, Life: n.Life, Peer: host, Addr: addr, Dialer: true})
+	}
 	to := n.net.nodes[host]
 	if to == nil { // nobody holds this address
 		answer(dialMost, nil, ErrTimeout)
@@ -410,17 +415,14 @@
 }
 
 func (e *End) arm() {
+	e.timer.Stop()
 	e.timer = e.node.net.w.At(max(e.flight[0].at, e.path.StalledUntil), e.arrive)
 }
 
 // arrive has what is due reach the peer's machine.
 func (e *End) arrive() {
 	w := e.node.net.w
-	if e.path.StalledUntil > w.now {
-		e.arm()
-		return
-	}
-	for len(e.flight) > 0 && e.flight[0].at <= w.now {
+	for len(e.flight) > 0 && max(e.flight[0].at, e.path.StalledUntil) <= w.now {
 		s := e.flight[0]
 		e.flight = e.flight[1:]
 		e.peer.receive(s)
@@ -439,7 +441,7 @@
 		e.peer.broken(ByCut)
 		return
 	case !e.open:
-		if len(s.data) > 0 { // nobody is there to read it
+		if len(s.data) > 0 && e.node.up { // nobody is there to read it; a machine that is gone says nothing
 			e.peer.Reset()
 		}
 		return
