Pass no run on to a waiter that came past the drain limit

Now only a repeat that came within the limit runs in its place; the others get the answer for what was not started.

--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -94,6 +94,7 @@
 type request struct {
 	Request
 	id       control.ID
+	read     micro.Time
 	state    state
 	answered bool // its caller has the answer, or has left
 	saving   bool // its run has ended, and the result is on its way to the store of record
@@ -120,6 +121,7 @@
 	wakes   []wake
 	gauges  control.Gauges
 	drained bool
+	drainAt micro.Time
 
 	good      bool
 	badSince  micro.Time // where it is not good
@@ -210,7 +212,7 @@
 	}
 	c.Begin(now, 0, false)
 	c.lastID++
-	q := &request{Request: r, id: c.lastID}
+	q := &request{Request: r, id: c.lastID, read: now}
 	e := control.Arrive{
 		ID: q.id, Class: r.Class, Tenant: r.Tenant, Key: r.Key, Age: max(now-r.At, 0).Duration(),
 		HeldKB: r.HeldKB, Rank: r.Rank, Retry: r.Retry, Caller: r.Caller,
@@ -249,7 +251,7 @@
 		return
 	}
 	c.Begin(now, 0, false)
-	c.drained = true
+	c.drained, c.drainAt = true, now
 	if !planted.Bug(planted.LateStart) {
 		c.events = append(c.events, control.Drain{Stop: stop.Duration()})
 	}
@@ -451,10 +453,14 @@
 	if len(r.key.waiters) > 0 && r.key.waiters[0].RunID == r.RunID {
 		c.finish(r.key.waiters[0], end, nil) // it was passed on to this one before, and not started either
 	}
-	if len(r.key.waiters) == 0 {
+	// Guards the drain: whoever was read past its limit waits for what runs, but does not run in its place. Found by
+	// the guided hunt, kept as passed-on-late.txt.
+	i := slices.IndexFunc(r.key.waiters, c.mayStart)
+	if i < 0 {
 		return false
 	}
-	w := r.key.waiters[0]
+	w := r.key.waiters[i]
+	r.key.waiters[0], r.key.waiters[i] = w, r.key.waiters[0]
 	r.key.expires += max(w.At-r.At, 0) // the window counts from the try that runs
 	c.answer(r, Answer{Status: Failed, Reason: "the run was not started"})
 	delete(c.runs, r.RunID)
@@ -465,6 +471,11 @@
 	return true
 }
 
+// mayStart says that r may still be run, as far as the notice to leave goes.
+func (c *Core) mayStart(r *request) bool {
+	return !c.drained || r.read <= c.drainAt+micro.Of(c.settings.DrainGrace) || planted.Bug(planted.PassLate)
+}
+
 // finish ends a run or a wait: the answer goes out and the module hears of it.
 func (c *Core) finish(r *request, end End, result []byte) {
 	outcome := control.OutcomeError
--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -144,6 +144,7 @@
 	made   bool // it is a run: not declined, nor found needless
 	end    pool.End
 	result []byte
+	before *run // of the same ID, which a safe class may have
 }
 
 type note struct {
@@ -697,8 +698,10 @@
 	var made []*run
 	if r.once != "" {
 		made = s.keys[r.once].runs
-	} else if u := s.runs[r.id]; u != nil {
-		made = []*run{u}
+	} else {
+		for u := s.runs[r.id]; u != nil; u = u.before {
+			made = append(made, u)
+		}
 	}
 	for _, u := range made {
 		if u.ended && u.end == pool.Pass && string(u.result) == string(result) {
@@ -754,7 +757,7 @@
 	case o.Rules.Settings.Classes[r.class].Name != m.Class:
 		o.report("result", s, r, "class changed: request %s", m.ID)
 	}
-	u = &run{id: m.ID, at: r.at, made: true}
+	u = &run{id: m.ID, at: r.at, made: true, before: u}
 	o.note(r, "run")
 	r.running = true
 	if r.once != "" {
