--- a/internal/faults/draw.go
+++ b/internal/faults/draw.go
@@ -27,7 +27,7 @@
 	"noon": {every: 5, load: 1.1, weight: map[Kind]int{Slow: 4, Costly: 4, Pause: 3, StoreSlow: 3, StoreFail: 1, Stall: 2, Thin: 2, Deaf: 1,
 		Cut: 2, Flood: 2, Insist: 1}},
 	"release": {every: 5, load: 0.9, weight: map[Kind]int{Term: 6, Hup: 4, Kill: 2, Stale: 3, Die: 2, Mute: 1, Lose: 2, Stall: 2, Cut: 2, Dark: 1}},
-	"worst": {every: 3, load: 1, weight: map[Kind]int{Kill: 3, Vanish: 1, Term: 3, Hup: 3, Pause: 2, Slow: 2, Costly: 2, Stall: 4, Cut: 5,
+	"worst": {every: 3, load: 1, weight: map[Kind]int{Kill: 3, Vanish: 1, Term: 3, Hup: 3, Pause: 2, Slow: 2, Costly: 2, Stall: 4, Cut: 5, Half: 1,
 		Lag: 2, Thin: 1, Dark: 2, Lose: 2, Double: 1, Flood: 2, Die: 2, Stale: 1, Hasty: 3, GiveLate: 2, Deaf: 1, Insist: 1, Table: 2, Strangers: 2,
 		Doubled: 2, Mute: 1, StoreSlow: 1, StoreFail: 1}},
 }
--- a/internal/faults/faults.go
+++ b/internal/faults/faults.go
@@ -32,6 +32,7 @@
 	Costly    Kind = "costly"    // the class What takes Amount times as long at the worker pool
 	Stall     Kind = "stall"     // nothing passes between Node and Peer, and nothing is lost
 	Cut       Kind = "cut"       // connections of Node to Peer break after Amount more bytes from Node
+	Half      Kind = "half"      // connections of Node to Peer are closed in the direction from Node
 	Lag       Kind = "lag"       // Amount milliseconds more from Node to Peer and back
 	Thin      Kind = "thin"      // Amount bytes a second between Node and Peer
 	Dark      Kind = "dark"      // connects and datagrams between Node and Peer get no answer
@@ -74,7 +75,7 @@
 	Hup: {node: "s"}, Pause: {node: "s", length: true}, Slow: {node: "w", length: true, lo: 1, hi: 100},
 	Costly: {node: "w", length: true, what: Classes, lo: 1, hi: 100},
 	Stall:  {node: anyNode, peer: true, length: true}, Cut: {node: anyNode, peer: true, hi: 1e7},
-	Lag: {node: anyNode, peer: true, length: true, hi: 10_000}, Thin: {node: anyNode, peer: true, length: true, lo: 1000, hi: 1e9},
+	Half: {node: anyNode, peer: true}, Lag: {node: anyNode, peer: true, length: true, hi: 10_000}, Thin: {node: anyNode, peer: true, length: true, lo: 1000, hi: 1e9},
 	Dark: {node: anyNode, peer: true, length: true}, Lose: {node: anyNode, peer: true, length: true, hi: 1},
 	Double: {node: anyNode, peer: true, length: true, hi: 1}, Flood: {length: true, what: Tenants, lo: 1, hi: 100},
 	Die: {node: "p", length: true}, Stale: {node: "p", length: true}, Hasty: {node: "p", length: true, hi: 10_000},
--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -389,6 +389,10 @@
 		return
 	}
 	switch v.Kind {
+	case virtual.Halved: // who sends no more has left, as far as the program can tell
+		if v.Dialer {
+			c.left = true
+		}
 	case virtual.Ended:
 		o.connEnded(c, v)
 	case virtual.Arrived:
--- a/internal/virtual/net.go
+++ b/internal/virtual/net.go
@@ -47,6 +47,7 @@
 	Arrived                  // Bytes have reached Node's machine
 	Ended                    // Node has no more of the connection; Why tells
 	Packet                   // a datagram with Bytes has reached Node
+	Halved                   // Node sends no more, and still reads
 	Tried                    // Node tries to connect to Addr
 )
 
@@ -518,6 +519,7 @@
 func (e *End) CloseWrite() {
 	if e.open && !e.fin {
 		e.fin = true
+		e.node.net.tap(e, Event{Kind: Halved})
 		if len(e.unsent) == 0 {
 			e.send(segment{fin: true})
 		}
