Decide over a fleet of servers: states, choice, limits, repeated attempts and advice

Need: an edge before many log servers must know which are slow or down, and a fresh one should learn that from a running one. Nothing serves with it yet.

--- /dev/null
+++ b/internal/decide/fleet/fleet.go
@@ -0,0 +1,487 @@
+// Package fleet decides how one instance uses many log servers: which server gets a try, how many requests may be
+// open there, when one that looks bad is tried again and by which request, how much of the traffic a server gets that
+// has come back, whether a request is tried again, and what advice from another instance is worth.
+//
+// It does no I/O, starts no goroutine and reads no clock: the host gives the time with every call. Randomness comes
+// from a seed; the same calls give the same answers.
+package fleet
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+
+	"pewterline/internal/micro"
+)
+
+// State is what one instance takes a server for.
+type State uint8
+
+// The states of a server.
+const (
+	Fresh    State = iota // nothing is known of it by our own observation
+	Up                    // it answers
+	Warming               // it has come back, and gets a growing part of the traffic
+	Suspect               // it failed lately; safe and cheap requests find out
+	Down                  // nobody listens there, or several tries in a row came to nothing
+	Draining              // it takes nothing new
+)
+
+var stateNames = [...]string{"fresh", "up", "warming", "suspect", "down", "draining"}
+
+func (s State) String() string { return stateNames[s] }
+
+// Outcome is how a try at a server ended.
+type Outcome uint8
+
+// The outcomes of a try.
+const (
+	Served    Outcome = iota
+	Refused           // it never ran; After and Last may come with it
+	Failed            // the server says so; it may have run
+	TimedOut          // no answer while it was waited for; it may have run
+	Broken            // the connection ended after the request was written; it may have run
+	Unreached         // nobody took the connection: nothing was written
+	Withdrawn         // we gave it up; it tells nothing of the server
+)
+
+// Proves says that the outcome proves that nothing ran.
+func (o Outcome) Proves() bool { return o == Refused || o == Unreached }
+
+// Config are the figures of the decisions. Zero values take the defaults.
+type Config struct {
+	Classes     int        // of requests, by number from 0 on
+	SuspectTry  int        // failures in a row after which a server is suspect
+	DownTry     int        // and after which it is down
+	ProbeFirst  micro.Time // after which a suspect is tried again; doubled with each failure
+	ProbeMost   micro.Time
+	Warm        micro.Time // how long a server that came back gets less than its part
+	WarmFrom    float64    // the part that it gets at first
+	EjectMost   float64    // share of the servers that may be left out for looking bad; beyond it, routing goes among all
+	LimitFirst  float64    // open requests at a server before anything is learned
+	LimitMost   float64
+	Believe     float64 // weight of hearsay from which on it counts against a server we know nothing of
+	HearsayKeep float64 // part of its weight that a fact keeps from hand to hand
+}
+
+func (c *Config) defaults() {
+	set := func(v *float64, d float64) {
+		if *v == 0 {
+			*v = d
+		}
+	}
+	setTime := func(v *micro.Time, d micro.Time) {
+		if *v == 0 {
+			*v = d
+		}
+	}
+	if c.SuspectTry == 0 {
+		c.SuspectTry = 2
+	}
+	if c.DownTry == 0 {
+		c.DownTry = 5
+	}
+	setTime(&c.ProbeFirst, 250*micro.Millisecond)
+	setTime(&c.ProbeMost, 8*micro.Second)
+	setTime(&c.Warm, 15*micro.Second)
+	set(&c.WarmFrom, 0.2)
+	set(&c.EjectMost, 0.5)
+	set(&c.LimitFirst, 8)
+	set(&c.LimitMost, 256)
+	set(&c.Believe, 1)
+	set(&c.HearsayKeep, 0.5)
+}
+
+// Check tells the first figure that makes no sense.
+func (c Config) Check() error {
+	c.defaults()
+	switch {
+	case c.Classes < 1 || c.Classes > 64:
+		return fmt.Errorf("fleet: classes: %d is not within 1 to 64", c.Classes)
+	case c.SuspectTry < 1 || c.DownTry < c.SuspectTry:
+		return fmt.Errorf("fleet: suspect_after, down_after: %d and %d are not in order", c.SuspectTry, c.DownTry)
+	case c.ProbeFirst <= 0 || c.ProbeMost < c.ProbeFirst:
+		return fmt.Errorf("fleet: probe_first, probe_most: %v and %v are not in order", c.ProbeFirst.Duration(), c.ProbeMost.Duration())
+	case !(c.WarmFrom > 0 && c.WarmFrom <= 1):
+		return fmt.Errorf("fleet: warm_from: %v is not within 0 to 1", c.WarmFrom)
+	case !(c.EjectMost >= 0 && c.EjectMost < 1):
+		return fmt.Errorf("fleet: eject_most: %v is not within 0 to under 1", c.EjectMost)
+	case !(c.LimitFirst >= 1 && c.LimitMost >= c.LimitFirst):
+		return fmt.Errorf("fleet: limit_first, limit_most: %v and %v are not in order", c.LimitFirst, c.LimitMost)
+	case !(c.HearsayKeep > 0 && c.HearsayKeep < 1):
+		return fmt.Errorf("fleet: hearsay_keep: %v is not within 0 to 1", c.HearsayKeep)
+	}
+	return nil
+}
+
+// Fleet is what one instance knows of the servers by its own observation.
+type Fleet struct {
+	cfg     Config
+	rng     *rand.Rand
+	members []*member // in the order they came, so that nothing depends on a map's
+	byName  map[string]*member
+	usual   []latency // of each class, over all servers
+	told    Knowledge
+}
+
+// member is one server.
+type member struct {
+	name    string
+	state   State
+	since   micro.Time // it is in that state
+	failed  int        // tries in a row
+	probeAt micro.Time // where it is suspect or down
+	probing bool
+	wait    micro.Time // until the next probe after that
+	shut    micro.Time // it asked to be left alone until then
+	open    int
+	limit   limit
+	lat     []latency
+	heard   micro.Time // it last answered anything
+	born    micro.Time // it came back, as far as we saw; -1: not seen
+	seen    int        // own observations
+}
+
+// New returns a fleet without servers.
+func New(cfg Config, seed uint64) (*Fleet, error) {
+	if err := cfg.Check(); err != nil {
+		return nil, err
+	}
+	cfg.defaults()
+	return &Fleet{cfg: cfg, rng: rand.New(rand.NewPCG(seed, 0x666c6565)), byName: map[string]*member{}, usual: make([]latency, cfg.Classes),
+		told: NewKnowledge(cfg.HearsayKeep)}, nil
+}
+
+// Add takes a server up; one that is known already stays as it is.
+func (f *Fleet) Add(now micro.Time, name string) {
+	if f.byName[name] != nil {
+		return
+	}
+	m := &member{name: name, since: now, born: -1, limit: limit{most: f.cfg.LimitFirst}, lat: make([]latency, f.cfg.Classes)}
+	f.byName[name] = m
+	f.members = append(f.members, m)
+}
+
+// Remove drops a server that is no longer in the list.
+func (f *Fleet) Remove(name string) {
+	m := f.byName[name]
+	if m == nil {
+		return
+	}
+	delete(f.byName, name)
+	for i, o := range f.members {
+		if o == m {
+			f.members = append(f.members[:i], f.members[i+1:]...)
+			return
+		}
+	}
+}
+
+// Try is what Pick needs to know of a request.
+type Try struct {
+	Class int
+	Safe  bool     // it may run twice
+	Cheap bool     // it costs little, so that it may find out whether a server is back
+	Avoid []string // servers that were tried already
+}
+
+// Choice is where a try goes.
+type Choice struct {
+	Server string
+	Probe  bool // it finds out whether the server is back
+}
+
+// Pick chooses the server for a try: of two drawn at random, the one with the sooner expected finish, as in
+// M. Mitzenmacher, "The Power of Two Choices in Randomized Load Balancing" (2001). A suspect whose time has come is
+// tried first by a request that is safe and cheap, and never by an intake. false: none will take it now.
+//
+// Pick changes nothing but the marks of a probe; Sent must follow.
+func (f *Fleet) Pick(now micro.Time, t Try) (Choice, bool) {
+	if t.Safe && t.Cheap {
+		for _, m := range f.members {
+			if f.looksBad(now, m) && m.state != Draining && !m.probing && now >= max(m.probeAt, m.shut) && m.open == 0 && !avoided(t, m) {
+				return Choice{m.name, true}, true
+			}
+		}
+	}
+	good, all := f.candidates(now, t)
+	from := good
+	// Bounded ejection: where most look bad, it is likelier that we are, or that all are slow; the last few must not be
+	// crowded. Then the limits alone hold.
+	if f.ejected(now) > f.cfg.EjectMost {
+		from = all
+	}
+	if len(from) == 0 {
+		return Choice{}, false
+	}
+	a, b := f.draw(now, from), f.draw(now, from)
+	if f.expected(now, b, t.Class) < f.expected(now, a, t.Class) {
+		a = b
+	}
+	return Choice{Server: a.name}, true
+}
+
+func avoided(t Try, m *member) bool {
+	for _, a := range t.Avoid {
+		if a == m.name {
+			return true
+		}
+	}
+	return false
+}
+
+// candidates lists who may take a try: those that look good, and all that are not known to take nothing. Whom the
+// request has tried already comes in only where there is nobody else.
+func (f *Fleet) candidates(now micro.Time, t Try) (good, all []*member) {
+	for _, again := range []bool{false, true} {
+		for _, m := range f.members {
+			if m.state == Draining || now < m.shut || float64(m.open) >= m.limit.most*f.warmth(now, m) && m.open > 0 || avoided(t, m) != again {
+				continue
+			}
+			all = append(all, m)
+			if !f.looksBad(now, m) {
+				good = append(good, m)
+			}
+		}
+		if len(good) > 0 {
+			break
+		}
+	}
+	return good, all
+}
+
+// looksBad says that a server is left out unless most are.
+func (f *Fleet) looksBad(now micro.Time, m *member) bool {
+	switch m.state {
+	case Suspect, Down, Draining:
+		return true
+	case Fresh:
+		return f.told.Dead(now, m.name) >= f.cfg.Believe
+	}
+	return false
+}
+
+// ejected is the share of servers that look bad.
+func (f *Fleet) ejected(now micro.Time) float64 {
+	n := 0
+	for _, m := range f.members {
+		if f.looksBad(now, m) {
+			n++
+		}
+	}
+	return float64(n) / float64(max(len(f.members), 1))
+}
+
+// warmth is the part of its traffic that a server gets: less than 1 while it warms.
+func (f *Fleet) warmth(now micro.Time, m *member) float64 {
+	if m.state != Warming {
+		return 1
+	}
+	return min(1, f.cfg.WarmFrom+(1-f.cfg.WarmFrom)*float64(now-m.since)/float64(f.cfg.Warm))
+}
+
+// draw draws a server by its warmth.
+func (f *Fleet) draw(now micro.Time, from []*member) *member {
+	for range 8 {
+		m := from[f.rng.IntN(len(from))]
+		if w := f.warmth(now, m); w >= 1 || f.rng.Float64() < w {
+			return m
+		}
+	}
+	return from[f.rng.IntN(len(from))]
+}
+
+// expected is when a request would be done there, in microseconds from now: what one takes, for each that is in front of
+// it at the server's pace.
+func (f *Fleet) expected(now micro.Time, m *member, class int) float64 {
+	own := m.lat[class].peak
+	if m.lat[class].n == 0 {
+		own = f.usual[class].mean
+		if slow, ok := f.told.Latency(now, m.name); ok && own > 0 {
+			own = max(own, slow)
+		}
+	}
+	if own == 0 {
+		own = float64(100 * micro.Millisecond)
+	}
+	return own * (1 + float64(m.open)/m.limit.most) / f.warmth(now, m)
+}
+
+// Sent says that a try went to a server.
+func (f *Fleet) Sent(now micro.Time, c Choice) {
+	m := f.byName[c.Server]
+	if m == nil {
+		return
+	}
+	m.open++
+	if c.Probe {
+		m.probing = true
+	}
+}
+
+// Result is how a try ended.
+type Result struct {
+	Class   int
+	Outcome Outcome
+	Took    micro.Time
+	After   micro.Time // Refused: how long to leave the server alone
+	Last    bool       // Refused: and no other should be tried
+}
+
+// Ended says how a try at a server ended.
+func (f *Fleet) Ended(now micro.Time, c Choice, r Result) {
+	m := f.byName[c.Server]
+	if m == nil {
+		return
+	}
+	m.open = max(m.open-1, 0)
+	if c.Probe {
+		m.probing = false
+	}
+	if r.Outcome == Withdrawn {
+		return
+	}
+	m.seen++
+	switch r.Outcome {
+	case Served, Refused:
+		f.answered(now, m)
+		if r.Outcome == Served {
+			m.lat[r.Class].add(float64(r.Took))
+			f.usual[r.Class].add(float64(r.Took))
+			m.limit.served(m.lat[r.Class], m.open, f.cfg.LimitMost)
+		} else {
+			m.shut = max(m.shut, now+r.After)
+			m.limit.refused()
+		}
+	case Failed:
+		m.heard = now // it speaks, but what it says is no work done
+		m.limit.refused()
+	default:
+		f.failed(now, m, r.Outcome)
+	}
+}
+
+// answered says that a server is there.
+func (f *Fleet) answered(now micro.Time, m *member) {
+	m.heard, m.failed, m.wait = now, 0, 0
+	switch m.state {
+	case Fresh:
+		f.enter(now, m, Up)
+	case Down:
+		m.born = now // the life we knew has ended
+		m.lat = make([]latency, f.cfg.Classes)
+		m.limit = limit{most: f.cfg.LimitFirst}
+		f.enter(now, m, Warming)
+	case Suspect:
+		f.enter(now, m, Warming)
+		m.since -= f.cfg.Warm / 2 // it may only have been slow
+	case Warming:
+		if now >= m.since+f.cfg.Warm {
+			f.enter(now, m, Up)
+		}
+	}
+}
+
+// failed counts a try that came to nothing.
+func (f *Fleet) failed(now micro.Time, m *member, o Outcome) {
+	m.failed++
+	m.limit.refused()
+	switch {
+	case o == Unreached || m.failed >= f.cfg.DownTry:
+		f.enter(now, m, Down)
+	case m.failed >= f.cfg.SuspectTry || m.state == Suspect || m.state == Warming:
+		if m.state != Down {
+			f.enter(now, m, Suspect)
+		}
+	default:
+		return
+	}
+	// The next probe comes later each time, spread so that many instances do not come at once.
+	m.wait = min(max(2*m.wait, f.cfg.ProbeFirst), f.cfg.ProbeMost)
+	m.probeAt = now + m.wait/2 + micro.Time(f.rng.Int64N(int64(m.wait)))
+}
+
+func (f *Fleet) enter(now micro.Time, m *member, s State) {
+	if m.state != s {
+		m.state, m.since = s, now
+	}
+}
+
+// Leaves says that a server has bidden farewell: it takes nothing new. Gone says that it has ended after that.
+func (f *Fleet) Leaves(now micro.Time, name string) {
+	if m := f.byName[name]; m != nil && m.state != Down {
+		f.enter(now, m, Draining)
+	}
+}
+
+// Gone says that a server that was leaving has closed its last connection.
+func (f *Fleet) Gone(now micro.Time, name string) {
+	if m := f.byName[name]; m != nil && m.state == Draining {
+		f.enter(now, m, Down)
+		m.wait = f.cfg.ProbeFirst
+		m.probeAt = now + m.wait
+	}
+}
+
+// View is what is known of a server, for people and for other instances.
+type View struct {
+	Name    string
+	State   State
+	For     micro.Time // it has been in that state
+	Open    int
+	Limit   float64
+	P50     micro.Time // of what it served, over all classes
+	P95     micro.Time
+	Heard   micro.Time // since it last answered; -1: never
+	Back    micro.Time // since it came back; -1: not seen
+	Shut    micro.Time // it asks to be left alone for so long yet
+	Seen    int
+	Hearsay float64 // weight of what others say against it
+}
+
+// Views lists the servers in the order they came.
+func (f *Fleet) Views(now micro.Time) []View {
+	out := make([]View, 0, len(f.members))
+	for _, m := range f.members {
+		v := View{Name: m.name, State: m.state, For: now - m.since, Open: m.open, Limit: m.limit.most, Heard: -1, Back: -1,
+			Shut: max(m.shut-now, 0), Seen: m.seen, Hearsay: f.told.Dead(now, m.name)}
+		if m.heard > 0 {
+			v.Heard = now - m.heard
+		}
+		if m.born >= 0 {
+			v.Back = now - m.born
+		}
+		var all latency
+		for i := range m.lat {
+			all.merge(m.lat[i])
+		}
+		v.P50, v.P95 = all.quantile(0.5), all.quantile(0.95)
+		out = append(out, v)
+	}
+	return out
+}
+
+// HedgeAfter is when a second copy of a slow safe read may go out: at the quantile of what reads of its class usually
+// take, as in J. Dean and L. Barroso, "The Tail at Scale" (2013). Never while too little is known.
+func (f *Fleet) HedgeAfter(class int, quantile float64) micro.Time {
+	if f.usual[class].n < 50 {
+		return micro.Never
+	}
+	return f.usual[class].quantile(quantile)
+}
+
+// Finishes tells when a try that is sent now would be done, at best; Never if no server takes it.
+func (f *Fleet) Finishes(now micro.Time, t Try) micro.Time {
+	good, all := f.candidates(now, t)
+	if f.ejected(now) > f.cfg.EjectMost {
+		good = all
+	}
+	best := math.Inf(1)
+	for _, m := range good {
+		best = min(best, f.expected(now, m, t.Class))
+	}
+	if math.IsInf(best, 1) {
+		return micro.Never
+	}
+	return now + micro.Time(best)
+}
--- /dev/null
+++ b/internal/decide/fleet/fleet_test.go
@@ -0,0 +1,414 @@
+package fleet
+
+import (
+	"fmt"
+	"math"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"pewterline/internal/micro"
+)
+
+const second = micro.Second
+
+func newFleet(t *testing.T, seed uint64, servers int) *Fleet {
+	f, err := New(Config{Classes: 2}, seed)
+	require.NoError(t, err)
+	for i := range servers {
+		f.Add(second, fmt.Sprintf("s%d", i))
+	}
+	return f
+}
+
+// try sends one to a server and has it end.
+func try(f *Fleet, now micro.Time, server string, o Outcome) {
+	c := Choice{Server: server}
+	f.Sent(now, c)
+	f.Ended(now, c, Result{Outcome: o, Took: 50 * micro.Millisecond})
+}
+
+func view(f *Fleet, now micro.Time, server string) View {
+	for _, v := range f.Views(now) {
+		if v.Name == server {
+			return v
+		}
+	}
+	return View{}
+}
+
+// share is the part of many picks that goes to a server; the picks are not sent.
+func share(f *Fleet, now micro.Time, server string) float64 {
+	n := 0
+	for range 4000 {
+		if c, ok := f.Pick(now, Try{Class: 0}); ok && c.Server == server {
+			n++
+		}
+	}
+	return float64(n) / 4000
+}
+
+var probe = Try{Safe: true, Cheap: true}
+
+func TestLifeOfAServer(t *testing.T) {
+	f, now := newFleet(t, 1, 4), 10*second
+	for i := range 4 {
+		try(f, now, fmt.Sprintf("s%d", i), Served)
+	}
+	require.Equal(t, Up, view(f, now, "s0").State)
+	try(f, now, "s0", TimedOut)
+	require.Equal(t, Up, view(f, now, "s0").State, "once is nothing")
+	try(f, now, "s0", TimedOut)
+	require.Equal(t, Suspect, view(f, now, "s0").State)
+	require.Zero(t, share(f, now, "s0"))
+	// A probe is a safe and cheap request, one at a time, once its time has come; never an intake.
+	now += second
+	for range 50 {
+		c, ok := f.Pick(now, Try{Safe: false, Cheap: true})
+		require.True(t, ok)
+		require.NotEqual(t, "s0", c.Server)
+	}
+	c, ok := f.Pick(now, probe)
+	require.True(t, ok)
+	require.Equal(t, Choice{"s0", true}, c)
+	f.Sent(now, c)
+	c2, _ := f.Pick(now, probe)
+	require.False(t, c2.Probe)
+	f.Ended(now, c, Result{Outcome: Served, Took: 1000})
+	require.Equal(t, Warming, view(f, now, "s0").State)
+	// A connection that nobody takes is proof at once.
+	try(f, now, "s1", Unreached)
+	require.Equal(t, Down, view(f, now, "s1").State)
+	now += 20 * second
+	c, _ = f.Pick(now, probe)
+	require.Equal(t, Choice{"s1", true}, c)
+	f.Sent(now, c)
+	f.Ended(now, c, Result{Outcome: Served, Took: 1000})
+	require.Equal(t, Warming, view(f, now, "s1").State)
+	require.Zero(t, view(f, now, "s1").Back)
+	low := share(f, now, "s1")
+	require.Less(t, low, 0.15)
+	require.Greater(t, low, 0.01)
+	now += 16 * second
+	try(f, now, "s1", Served)
+	require.Equal(t, Up, view(f, now, "s1").State)
+	// A farewell ends its part; once it has closed, it is down until it answers again.
+	f.Leaves(now, "s2")
+	require.Zero(t, share(f, now, "s2"))
+	c, ok = f.Pick(now, probe)
+	require.True(t, ok && c.Server != "s2")
+	f.Gone(now, "s2")
+	require.Equal(t, Down, view(f, now, "s2").State)
+}
+
+// Probes come at growing distances, with a spread, and within their bound.
+func TestProbesBackOff(t *testing.T) {
+	f, now := newFleet(t, 1, 3), 10*second
+	var gaps []micro.Time
+	last := now
+	try(f, now, "s0", Unreached)
+	for len(gaps) < 12 {
+		now += 5 * micro.Millisecond
+		if c, ok := f.Pick(now, probe); ok && c.Probe {
+			gaps = append(gaps, now-last)
+			last = now
+			f.Sent(now, c)
+			f.Ended(now, c, Result{Outcome: Unreached})
+		}
+	}
+	require.Less(t, gaps[0], 400*micro.Millisecond)
+	for _, g := range gaps[6:] {
+		require.GreaterOrEqual(t, g, 4*second)
+		require.LessOrEqual(t, g, 12*second+10*micro.Millisecond)
+	}
+}
+
+// A refusal with advice has the server left alone for so long, and no longer.
+func TestRefusalIsHeeded(t *testing.T) {
+	f, now := newFleet(t, 1, 2), 10*second
+	c := Choice{Server: "s0"}
+	f.Sent(now, c)
+	f.Ended(now, c, Result{Outcome: Refused, After: 700 * micro.Millisecond})
+	require.Zero(t, share(f, now+699*micro.Millisecond, "s0"))
+	require.Positive(t, share(f, now+700*micro.Millisecond, "s0"))
+	require.Equal(t, Up, view(f, now, "s0").State, "who refuses is there")
+}
+
+// Every server refuses at once: nobody is ejected, nothing is picked while they wish to be left alone, and all come back.
+func TestAllRefuseAtOnce(t *testing.T) {
+	f, now := newFleet(t, 1, 12), 10*second
+	for i := range 12 {
+		c := Choice{Server: fmt.Sprintf("s%d", i)}
+		f.Sent(now, c)
+		f.Ended(now, c, Result{Outcome: Refused, After: second})
+	}
+	_, ok := f.Pick(now, Try{})
+	require.False(t, ok)
+	require.Equal(t, micro.Never, f.Finishes(now, Try{}))
+	_, ok = f.Pick(now+second, Try{})
+	require.True(t, ok)
+}
+
+// All but one die at once: the last one is not crowded; the others share what its limit leaves, and are found to be back.
+func TestAllButOneDieAtOnce(t *testing.T) {
+	f, now := newFleet(t, 1, 12), 10*second
+	for i := range 12 {
+		try(f, now, fmt.Sprintf("s%d", i), Served)
+	}
+	for i := range 11 {
+		try(f, now, fmt.Sprintf("s%d", i), Unreached)
+	}
+	require.Less(t, share(f, now, "s11"), 0.5, "routing goes on among all")
+	for i := range 6 { // half are back
+		try(f, now+second, fmt.Sprintf("s%d", i), Served)
+	}
+	require.Zero(t, share(f, now+second, "s8"), "and among the good ones once they are enough")
+}
+
+// All return cold at once: each warms, and together they take everything.
+func TestAllReturnColdAtOnce(t *testing.T) {
+	f, now := newFleet(t, 1, 6), 10*second
+	for i := range 6 {
+		name := fmt.Sprintf("s%d", i)
+		try(f, now, name, Unreached)
+		try(f, now+second, name, Served)
+		require.Equal(t, Warming, view(f, now+second, name).State)
+	}
+	for i := range 6 {
+		require.InDelta(t, 1.0/6, share(f, now+second, fmt.Sprintf("s%d", i)), 0.05)
+	}
+}
+
+// The slower of two servers gets the smaller part, and the limit of one that takes ever longer falls.
+func TestSlowServersGetLess(t *testing.T) {
+	f, now := newFleet(t, 1, 2), 10*second
+	for i := range 200 {
+		for name, took := range map[string]micro.Time{"s0": 20 * micro.Millisecond, "s1": 20*micro.Millisecond + micro.Time(i)*5*micro.Millisecond} {
+			c := Choice{Server: name}
+			for range 6 { // others are open meanwhile, so that the limit is in use
+				f.Sent(now, c)
+			}
+			f.Ended(now, c, Result{Outcome: Served, Took: took})
+			for range 5 {
+				f.Ended(now, c, Result{Outcome: Withdrawn})
+			}
+		}
+		now += 10 * micro.Millisecond
+	}
+	require.Less(t, share(f, now, "s1"), 0.3)
+	require.Less(t, view(f, now, "s1").Limit, view(f, now, "s0").Limit/1.5)
+	require.Zero(t, view(f, now, "s0").Open)
+}
+
+func TestQuantiles(t *testing.T) {
+	var l latency
+	for i := range 1000 {
+		l.add(float64(i*37%100+1) * 1000) // 1 to 100 ms, evenly
+	}
+	require.InEpsilon(t, 50e3, float64(l.quantile(0.5)), 0.35)
+	require.InEpsilon(t, 95e3, float64(l.quantile(0.95)), 0.35)
+	for range 400 { // the old fade
+		l.add(400e3)
+	}
+	require.InEpsilon(t, 400e3, float64(l.quantile(0.1)), 0.2)
+}
+
+func TestHedgeNeedsKnowledge(t *testing.T) {
+	f, now := newFleet(t, 1, 2), 10*second
+	require.Equal(t, micro.Never, f.HedgeAfter(0, 0.95))
+	for range 60 {
+		try(f, now, "s0", Served)
+	}
+	require.InEpsilon(t, float64(50*micro.Millisecond), float64(f.HedgeAfter(0, 0.95)), 0.25)
+}
+
+func tell(server string, kind FactKind, age micro.Time, source string, hops int) Fact {
+	return Fact{Server: server, Kind: kind, Evidence: 10, Age: age, Source: source, Hops: hops, Value: 1000}
+}
+
+// A fresh instance leaves a server alone that a running one knows dead, and tries it again once that news is stale.
+func TestAdviceOfADeadServer(t *testing.T) {
+	f, now := newFleet(t, 1, 4), 100*second
+	a := f.Heed(now, "me", Adviser{"old", 1000 * second}, []Fact{tell("s0", Dead, second, "old", 1)})
+	require.Equal(t, Advice{Taken: 1}, a)
+	require.Zero(t, share(f, now, "s0"))
+	require.Positive(t, share(f, now+60*second, "s0"), "its news is stale")
+	c, ok := f.Pick(now, probe)
+	require.True(t, ok)
+	require.Equal(t, Choice{"s0", true}, c, "a safe, cheap request finds out")
+	f.Sent(now, c)
+	f.Ended(now, c, Result{Outcome: Served, Took: 1000})
+	require.Positive(t, share(f, now, "s0"), "own observation overrides")
+}
+
+// An adviser that has just restarted has seen little, whatever it says.
+func TestAdviserThatHasJustRestarted(t *testing.T) {
+	f, now := newFleet(t, 1, 4), 100*second
+	f.Heed(now, "me", Adviser{"young", second / 2}, []Fact{tell("s0", Dead, second/4, "young", 1), tell("s1", Dead, second/4, "other", 2)})
+	require.Less(t, f.told.Dead(now, "s0"), 0.5)
+	require.Positive(t, share(f, now, "s0"))
+	require.Positive(t, share(f, now, "s1"), "nor does its hearsay weigh more")
+	a := f.Heed(now, "me", Adviser{"young", second}, []Fact{tell("s2", Dead, 30*second, "young", 1)})
+	require.Equal(t, 1, a.Faulty, "it cannot have seen what was before its start")
+	require.ErrorContains(t, a.Err, "30s")
+}
+
+// Two instances that repeat each other's hearsay do not make it stronger, nor younger.
+func TestHearsayDoesNotGrow(t *testing.T) {
+	a, b, now := newFleet(t, 1, 2), newFleet(t, 2, 2), 100*second
+	a.Heed(now, "a", Adviser{"old", 1000 * second}, []Fact{tell("s0", Dead, 0, "old", 1)})
+	first := a.told.Dead(now, "s0")
+	last := first
+	for range 30 {
+		now += second / 2
+		b.Heed(now, "b", Adviser{"a", 500 * second}, a.Tell(now, "a", 100))
+		a.Heed(now, "a", Adviser{"b", 500 * second}, b.Tell(now, "b", 100))
+		require.LessOrEqual(t, a.told.Dead(now, "s0"), last)
+		require.Less(t, b.told.Dead(now, "s0"), a.told.Dead(now, "s0"))
+		last = a.told.Dead(now, "s0")
+	}
+	require.InEpsilon(t, first*math.Exp2(-1.5), last, 0.01, "it fades as if it had been told once")
+	require.Equal(t, 1, a.told.Len())
+}
+
+// News older than a server's return is none, whoever saw the return, and in whichever order the news comes.
+func TestNewsOlderThanTheReturn(t *testing.T) {
+	for _, backFirst := range []bool{true, false} {
+		f, now := newFleet(t, 1, 3), 100*second
+		facts := []Fact{tell("s0", Back, 2*second, "x", 1), tell("s0", Dead, 5*second, "y", 1)}
+		if !backFirst {
+			facts[0], facts[1] = facts[1], facts[0]
+		}
+		f.Heed(now, "me", Adviser{"x", 1000 * second}, facts)
+		require.Zero(t, f.told.Dead(now, "s0"))
+		f.Heed(now, "me", Adviser{"x", 1000 * second}, []Fact{tell("s0", Dead, second, "y", 1)})
+		require.Positive(t, f.told.Dead(now, "s0"), "it has died again since")
+	}
+	f, now := newFleet(t, 1, 3), 100*second // our own sight of it
+	try(f, now-10*second, "s0", Unreached)
+	try(f, now-3*second, "s0", Served)
+	a := f.Heed(now, "me", Adviser{"x", 1000 * second}, []Fact{tell("s0", Dead, 5*second, "x", 1)})
+	require.Equal(t, Advice{Stale: 1}, a)
+}
+
+// A server that is bad for one instance only stays in use by those that see it themselves.
+func TestBadLinkOfOneInstance(t *testing.T) {
+	f, now := newFleet(t, 1, 4), 100*second
+	for i := range 4 {
+		try(f, now, fmt.Sprintf("s%d", i), Served)
+	}
+	f.Heed(now, "me", Adviser{"x", 1000 * second}, []Fact{tell("s0", Dead, 0, "x", 1), tell("s0", Slow, 0, "x", 1)})
+	require.InDelta(t, 0.25, share(f, now, "s0"), 0.05)
+	// And a fresh one weighs it against those that see it well.
+	g := newFleet(t, 2, 4)
+	g.Heed(now, "me", Adviser{"x", 1000 * second}, []Fact{tell("s0", Dead, 0, "x", 1)})
+	g.Heed(now, "me", Adviser{"y", 1000 * second}, f.Tell(now, "y", 100))
+	try(f, now, "s0", Served)
+	g.Heed(now, "me", Adviser{"z", 1000 * second}, []Fact{tell("s0", Alive, 0, "z", 1)})
+	require.Positive(t, share(g, now, "s0"))
+}
+
+// What lies out of bounds is refused, and nothing grows.
+func TestFaultyAdvice(t *testing.T) {
+	f, now := newFleet(t, 1, 4), 100*second
+	good := tell("s0", Dead, second, "x", 1)
+	for name, spoil := range map[string]func(*Fact){
+		"age": func(x *Fact) { x.Age = -1 }, "old": func(x *Fact) { x.Age = MaxAge + 1 }, "kind": func(x *Fact) { x.Kind = 99 },
+		"no kind": func(x *Fact) { x.Kind = 0 }, "hops": func(x *Fact) { x.Hops = 99 }, "below": func(x *Fact) { x.Hops = -1 },
+		"evidence": func(x *Fact) { x.Evidence = math.NaN() }, "endless": func(x *Fact) { x.Evidence = math.Inf(1) }, "none": func(x *Fact) { x.Evidence = 0 },
+		"name": func(x *Fact) { x.Server = "" }, "long": func(x *Fact) { x.Source = string(make([]byte, 65)) },
+		"value": func(x *Fact) { x.Kind, x.Value = Slow, math.Inf(1) }, "own at one hand": func(x *Fact) { x.Hops = 0 },
+	} {
+		x := good
+		spoil(&x)
+		a := f.Heed(now, "me", Adviser{"x", 1000 * second}, []Fact{x})
+		require.Equal(t, 1, a.Faulty, name)
+		require.Error(t, a.Err, name)
+	}
+	require.Equal(t, 1, f.Heed(now, "me", Adviser{"x", -1}, []Fact{good}).Faulty)
+	var many []Fact
+	for i := range 100_000 {
+		many = append(many, tell(fmt.Sprintf("s%d", i%1000), Dead, second, fmt.Sprintf("z%d", i), 2))
+	}
+	a := f.Heed(now, "me", Adviser{"x", 1000 * second}, many)
+	require.Equal(t, 100_000-400, a.Ignored)
+	require.LessOrEqual(t, f.told.Len(), 4*sourcesMost)
+	f.Remove("s0")
+	f.Sweep(now)
+	require.Empty(t, f.told.of("s0", Dead))
+	f.Sweep(now + 2*MaxAge)
+	require.Zero(t, f.told.Len())
+}
+
+// A snapshot stays as it is while the loop goes on.
+func TestSnapshotStays(t *testing.T) {
+	f, now := newFleet(t, 1, 2), 100*second
+	f.Heed(now, "me", Adviser{"x", 1000 * second}, []Fact{tell("s0", Dead, 0, "x", 1)})
+	before := f.Told()
+	f.Heed(now, "me", Adviser{"x", 1000 * second}, []Fact{tell("s1", Dead, 0, "x", 1)})
+	require.Equal(t, []int{1, 2}, []int{before.Len(), f.Told().Len()})
+}
+
+func TestConfigIsChecked(t *testing.T) {
+	for name, c := range map[string]Config{"classes": {}, "suspect_after": {Classes: 1, SuspectTry: 9}, "probe_first": {Classes: 1, ProbeFirst: -1},
+		"warm_from": {Classes: 1, WarmFrom: 2}, "eject_most": {Classes: 1, EjectMost: 1}, "limit_first": {Classes: 1, LimitFirst: 999},
+		"hearsay_keep": {Classes: 1, HearsayKeep: 1}} {
+		require.ErrorContains(t, c.Check(), name)
+	}
+}
+
+// Whatever happens in whatever order, what is open is never negative, limits hold, nobody is picked who left, and the
+// same calls give the same picks.
+func TestFleetHolds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, _ := New(Config{Classes: 1}, 7)
+		b, _ := New(Config{Classes: 1}, 7)
+		now := second
+		for i := range 4 {
+			a.Add(now, fmt.Sprint(i))
+			b.Add(now, fmt.Sprint(i))
+		}
+		open := map[string]int{}
+		var out []Choice
+		for range rapid.IntRange(1, 120).Draw(t, "steps") {
+			now += micro.Time(rapid.IntRange(0, 500_000).Draw(t, "wait"))
+			switch rapid.IntRange(0, 4).Draw(t, "what") {
+			case 0, 1:
+				q := Try{Safe: rapid.Bool().Draw(t, "safe"), Cheap: true}
+				c, ok := a.Pick(now, q)
+				d, ok2 := b.Pick(now, q)
+				require.Equal(t, []any{c, ok}, []any{d, ok2})
+				if !ok {
+					continue
+				}
+				v := view(a, now, c.Server)
+				require.NotEqual(t, Draining, v.State)
+				require.False(t, c.Probe && !q.Safe)
+				require.Zero(t, v.Shut*micro.Time(len(c.Server)))
+				require.True(t, open[c.Server] == 0 || float64(open[c.Server]) < v.Limit)
+				a.Sent(now, c)
+				b.Sent(now, c)
+				open[c.Server]++
+				out = append(out, c)
+			case 2, 3:
+				if len(out) == 0 {
+					continue
+				}
+				i := rapid.IntRange(0, len(out)-1).Draw(t, "which")
+				r := Result{Outcome: Outcome(rapid.IntRange(0, int(Withdrawn)).Draw(t, "outcome")), Took: 1000, After: 200_000}
+				a.Ended(now, out[i], r)
+				b.Ended(now, out[i], r)
+				open[out[i].Server]--
+				out = append(out[:i], out[i+1:]...)
+			default:
+				name := fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "server"))
+				a.Leaves(now, name)
+				b.Leaves(now, name)
+			}
+			for name, n := range open {
+				require.Equal(t, n, view(a, now, name).Open)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/decide/fleet/knowledge.go
@@ -0,0 +1,317 @@
+package fleet
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+
+	"github.com/benbjohnson/immutable"
+
+	"pewterline/internal/micro"
+)
+
+// FactKind is what a fact is about.
+type FactKind uint8
+
+// The kinds of fact.
+const (
+	Dead  FactKind = iota + 1 // tries there came to nothing
+	Alive                     // it answered
+	Slow                      // Value: microseconds that a request takes there
+	Back                      // it came back: what is older is of a life that has ended
+	kindsEnd
+)
+
+// halfLife is after how long a fact of each kind weighs half.
+var halfLife = [kindsEnd]micro.Time{Dead: 10 * micro.Second, Alive: 10 * micro.Second, Slow: 20 * micro.Second, Back: 120 * micro.Second}
+
+// Fact is what somebody has seen of a server. It goes from instance to instance with its age, never with a time:
+// clocks disagree.
+type Fact struct {
+	Server   string
+	Kind     FactKind
+	Value    float64
+	Evidence float64    // observations behind it
+	Age      micro.Time // since it was observed
+	Source   string     // the instance that observed it
+	Hops     int        // hands that it went through since
+}
+
+// Adviser is who tells facts.
+type Adviser struct {
+	Name   string
+	Uptime micro.Time // what it says cannot rest on more than it can have seen
+}
+
+// The bounds of what is taken from others.
+const (
+	MaxHops     = 4
+	MaxAge      = 600 * micro.Second
+	maxEvidence = 20.0
+	sourcesMost = 4 // of one kind of fact about one server
+	nameMost    = 64
+	// evidencePerSecond is what an instance can have learned of one server in a second of its life.
+	evidencePerSecond = 1.0
+	slowMost          = float64(60 * micro.Second)
+)
+
+// Knowledge is what others have told. It is a value: a copy is a snapshot that stays as it is, while the loop goes on
+// with its own (the map below is persistent).
+type Knowledge struct {
+	keep  float64
+	facts *immutable.SortedMap[factKey, held]
+}
+
+// factKey names a fact: each source has one of a kind about a server, so that what is told again and again by many
+// hands stays one observation.
+type factKey struct {
+	server string
+	kind   FactKind
+	source string
+}
+
+type keyOrder struct{}
+
+func (keyOrder) Compare(a, b factKey) int {
+	return cmp.Or(cmp.Compare(a.server, b.server), cmp.Compare(a.kind, b.kind), cmp.Compare(a.source, b.source))
+}
+
+// held is a fact with the time, on our own clock, of its observation.
+type held struct {
+	fact Fact
+	at   micro.Time
+}
+
+// NewKnowledge returns an empty one; keep is the part of its weight that a fact keeps from hand to hand.
+func NewKnowledge(keep float64) Knowledge {
+	return Knowledge{keep: keep, facts: immutable.NewSortedMap[factKey, held](keyOrder{})}
+}
+
+// Len counts the facts.
+func (k Knowledge) Len() int { return k.facts.Len() }
+
+// CheckFact tells why a fact cannot be taken; nil if it can.
+func CheckFact(f Fact) error {
+	switch {
+	case f.Server == "" || len(f.Server) > nameMost:
+		return fmt.Errorf("fleet: fact: server: a name of %d bytes", len(f.Server))
+	case f.Source == "" || len(f.Source) > nameMost:
+		return fmt.Errorf("fleet: fact: source: a name of %d bytes", len(f.Source))
+	case f.Kind == 0 || f.Kind >= kindsEnd:
+		return fmt.Errorf("fleet: fact: kind: unknown %d", f.Kind)
+	case f.Age < 0 || f.Age > MaxAge:
+		return fmt.Errorf("fleet: fact: age: %v is not within 0 to %v", f.Age.Duration(), MaxAge.Duration())
+	case f.Hops < 0 || f.Hops > MaxHops:
+		return fmt.Errorf("fleet: fact: hops: %d is not within 0 to %d", f.Hops, MaxHops)
+	case !(f.Evidence > 0) || math.IsInf(f.Evidence, 0):
+		return fmt.Errorf("fleet: fact: evidence: %v is not over 0", f.Evidence)
+	case f.Kind == Slow && !(f.Value > 0 && f.Value <= slowMost):
+		return fmt.Errorf("fleet: fact: value: %v is not within 0 to %v", f.Value, slowMost)
+	}
+	return nil
+}
+
+// weight is what a fact counts now: its evidence, halved with each half-life of its kind, and discounted by hearsay.
+func (k Knowledge) weight(now micro.Time, h held) float64 {
+	return h.fact.Evidence * math.Exp2(-float64(now-h.at)/float64(halfLife[h.fact.Kind])) * math.Pow(k.keep, float64(h.fact.Hops))
+}
+
+// of lists the facts of a kind about a server.
+func (k Knowledge) of(server string, kind FactKind) (out []held) {
+	it := k.facts.Iterator()
+	it.Seek(factKey{server: server, kind: kind})
+	for !it.Done() {
+		key, h, _ := it.Next()
+		if key.server != server || key.kind != kind {
+			break
+		}
+		out = append(out, h)
+	}
+	return out
+}
+
+// Dead is the weight of what speaks against a server, less what speaks for it; never below 0.
+func (k Knowledge) Dead(now micro.Time, server string) float64 {
+	sum := 0.0
+	for _, h := range k.of(server, Dead) {
+		sum += k.weight(now, h)
+	}
+	if sum == 0 {
+		return 0
+	}
+	for _, h := range k.of(server, Alive) {
+		sum -= k.weight(now, h)
+	}
+	return max(sum, 0)
+}
+
+// Latency is what requests are said to take at a server, in microseconds: the mean of the sources by their weight.
+func (k Knowledge) Latency(now micro.Time, server string) (float64, bool) {
+	sum, weights := 0.0, 0.0
+	for _, h := range k.of(server, Slow) {
+		w := k.weight(now, h)
+		sum += w * h.fact.Value
+		weights += w
+	}
+	return sum / weights, weights > 0.05
+}
+
+// backAt is when a server last came back, as far as anybody has told; -1: never.
+func (k Knowledge) backAt(server string) micro.Time {
+	at := micro.Time(-1)
+	for _, h := range k.of(server, Back) {
+		at = max(at, h.at)
+	}
+	return at
+}
+
+// take adds a fact that has passed its checks, or leaves it where something newer is known. It returns the new
+// knowledge.
+func (k Knowledge) take(now micro.Time, f Fact) (Knowledge, bool) {
+	h := held{f, now - f.Age}
+	// News about an earlier life of a server is none: what was seen before it came back has ended with that life.
+	if f.Kind != Back && h.at < k.backAt(f.Server) {
+		return k, false
+	}
+	key := factKey{f.Server, f.Kind, f.Source}
+	if old, ok := k.facts.Get(key); ok && (old.at > h.at || old.at == h.at && old.fact.Hops <= f.Hops) {
+		return k, false
+	}
+	k.facts = k.facts.Set(key, h)
+	if f.Kind == Back {
+		for _, kind := range []FactKind{Dead, Alive, Slow} {
+			for _, o := range k.of(f.Server, kind) {
+				if o.at < h.at {
+					k.facts = k.facts.Delete(factKey{f.Server, kind, o.fact.Source})
+				}
+			}
+		}
+	}
+	// The lightest goes where a server has too many.
+	if all := k.of(f.Server, f.Kind); len(all) > sourcesMost {
+		least := slices.MinFunc(all, func(a, b held) int { return cmp.Compare(k.weight(now, a), k.weight(now, b)) })
+		k.facts = k.facts.Delete(factKey{f.Server, f.Kind, least.fact.Source})
+	}
+	return k, true
+}
+
+// forget drops what about nothing can be told any more, and what is about a server that is not there.
+func (k Knowledge) forget(now micro.Time, known func(string) bool) Knowledge {
+	for it := k.facts.Iterator(); !it.Done(); {
+		key, h, _ := it.Next()
+		if now-h.at > MaxAge || !known(key.server) || k.weight(now, h) < 0.001 && key.kind != Back {
+			k.facts = k.facts.Delete(key)
+		}
+	}
+	return k
+}
+
+// Advice is the outcome of Heed.
+type Advice struct {
+	Taken   int
+	Stale   int // older than what is known, or of an earlier life
+	Ignored int // about servers that are not in our list, or our own words
+	Faulty  int
+	Err     error // the first fault
+}
+
+// Heed takes what another instance tells. Own observation goes before it everywhere: what is told counts only for
+// servers that this instance has not tried itself. self is our own name, whose words come back to us.
+func (f *Fleet) Heed(now micro.Time, self string, from Adviser, facts []Fact) (a Advice) {
+	fault := func(err error) {
+		a.Faulty++
+		if a.Err == nil {
+			a.Err = err
+		}
+	}
+	if from.Uptime < 0 || from.Name == "" || len(from.Name) > nameMost {
+		fault(fmt.Errorf("fleet: adviser: %q with an uptime of %v", from.Name, from.Uptime.Duration()))
+		return a
+	}
+	// An adviser that has just started has seen little, whatever it says, and its hearsay rests on no more.
+	most := min(maxEvidence, evidencePerSecond*from.Uptime.Duration().Seconds())
+	for _, x := range facts {
+		switch err := CheckFact(x); {
+		case err != nil:
+			fault(err)
+			continue
+		case x.Source == from.Name && (x.Hops != 1 || x.Age > from.Uptime):
+			fault(fmt.Errorf("fleet: fact: %s tells of %v ago and is up for %v", from.Name, x.Age.Duration(), from.Uptime.Duration()))
+			continue
+		}
+		m := f.byName[x.Server]
+		if m == nil || x.Source == self {
+			a.Ignored++
+			continue
+		}
+		// Our own sight of its return goes before older news.
+		if x.Kind != Back && m.born >= 0 && now-x.Age < m.born {
+			a.Stale++
+			continue
+		}
+		if x.Evidence = min(x.Evidence, most); x.Evidence <= 0 {
+			a.Stale++
+			continue
+		}
+		next, ok := f.told.take(now, x)
+		if !ok {
+			a.Stale++
+			continue
+		}
+		f.told = next
+		a.Taken++
+	}
+	return a
+}
+
+// Tell is what this instance tells another: what it has seen itself, then what it was told, one hand further. The
+// strongest facts come first where most bounds them.
+func (f *Fleet) Tell(now micro.Time, self string, most int) []Fact {
+	var own []Fact
+	for _, m := range f.members {
+		add := func(kind FactKind, value, evidence float64, at micro.Time) {
+			if evidence > 0 && now-at <= MaxAge {
+				own = append(own, Fact{Server: m.name, Kind: kind, Value: value, Evidence: min(evidence, maxEvidence), Age: now - at, Source: self, Hops: 1})
+			}
+		}
+		switch m.state {
+		case Down, Suspect:
+			add(Dead, 0, float64(m.failed), m.since)
+		case Up, Warming:
+			add(Alive, 0, float64(min(m.seen, 10)), m.heard)
+		}
+		if m.born >= 0 {
+			add(Back, 0, 1, m.born)
+		}
+		var all latency
+		for i := range m.lat {
+			all.merge(m.lat[i])
+		}
+		if all.n >= 5 && m.heard > 0 {
+			add(Slow, float64(all.quantile(0.5)), float64(min(all.n, 20))/2, m.heard)
+		}
+	}
+	var others []held
+	for it := f.told.facts.Iterator(); !it.Done(); {
+		_, h, _ := it.Next()
+		if h.fact.Hops < MaxHops && now-h.at <= MaxAge {
+			others = append(others, h)
+		}
+	}
+	slices.SortStableFunc(others, func(a, b held) int { return cmp.Compare(f.told.weight(now, b), f.told.weight(now, a)) })
+	for _, h := range others {
+		x := h.fact
+		x.Age, x.Hops = now-h.at, x.Hops+1
+		own = append(own, x)
+	}
+	return own[:min(len(own), most)]
+}
+
+// Told is a snapshot of what others have told.
+func (f *Fleet) Told() Knowledge { return f.told }
+
+// Sweep forgets what has lost its weight; it is called now and then.
+func (f *Fleet) Sweep(now micro.Time) {
+	f.told = f.told.forget(now, func(server string) bool { return f.byName[server] != nil })
+}
