--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -16,6 +16,7 @@
 	"github.com/BurntSushi/toml"
 
 	"pewterline/control"
+	"pewterline/internal/decide/fleet"
 	"pewterline/internal/micro"
 	"pewterline/internal/wire"
 )
@@ -33,6 +34,7 @@
 	Gauges   []string // the pool's gauges, in their order
 	AJP      AJP
 	Store    Store
+	Fleet    Fleet
 }
 
 // Store is deploy/store.toml.
@@ -42,6 +44,20 @@
 	Timeout time.Duration // of every wait for it
 }
 
+// Fleet is deploy/fleet.toml: the log servers that do the work in place of a worker pool.
+type Fleet struct {
+	Members  []Member // none: the program is a log server itself
+	From     uint32   // the number by which it makes itself known to them
+	Decide   fleet.Config
+	Attempts fleet.AttemptsConfig
+}
+
+// Member is one log server of a fleet.
+type Member struct {
+	Name    string `toml:"name"`
+	Address string `toml:"address"`
+}
+
 // AJP is deploy/ajp.toml.
 type AJP struct {
 	Listen      string     // empty: no front
@@ -68,6 +84,8 @@
 	defaultAJPFile     = "deploy/ajp.toml"
 	defaultStoreFile   = "deploy/store.toml"
 	defaultStoreMS     = 1000
+	defaultFleetFile   = "deploy/fleet.toml"
+	maxMembers         = 1000
 )
 
 type file struct {
@@ -104,7 +122,11 @@
 	if err != nil {
 		return Config{}, err
 	}
-	return parse(text, ajp, store, getenv("RELAY_NAME"), getenv("RELAY_LISTEN"))
+	fleetText, err := optional(getenv, "RELAY_FLEET", defaultFleetFile)
+	if err != nil {
+		return Config{}, err
+	}
+	return parse(text, ajp, store, fleetText, getenv("RELAY_NAME"), getenv("RELAY_LISTEN"))
 }
 
 // optional reads a file that may be missing, unless the environment names it.
@@ -121,7 +143,7 @@
 }
 
 // parse checks the files; the name and the address of the environment win over the file's.
-func parse(text, ajpText, storeText []byte, name, listen string) (Config, error) {
+func parse(text, ajpText, storeText, fleetText []byte, name, listen string) (Config, error) {
 	var f file
 	if err := json.Unmarshal(text, &f); err != nil {
 		var wrong *json.UnmarshalTypeError
@@ -141,13 +163,19 @@
 	if c.Store, err = parseStore(storeText); err != nil {
 		return c, err
 	}
+	if c.Fleet, err = parseFleet(fleetText); err != nil {
+		return c, err
+	}
+	if len(c.Fleet.Members) > 0 && c.AJP.Runner != "" {
+		return c, errors.New("config: fleet.toml: server: ajp.toml names a runner as well; only one can do the work")
+	}
 	if c.Name == "" || strings.ContainsAny(c.Name, " \r\n\t") {
 		return c, fmt.Errorf("config: name: %q is not one word", c.Name)
 	}
 	if err := address("listen", c.Listen); err != nil {
 		return c, err
 	}
-	if c.Pool != "" || c.AJP.Runner == "" {
+	if c.Pool != "" || c.AJP.Runner == "" && len(c.Fleet.Members) == 0 {
 		if err := address("pool", c.Pool); err != nil {
 			return c, err
 		}
@@ -253,6 +281,55 @@
 	return s, nil
 }
 
+func parseFleet(text []byte) (Fleet, error) {
+	var f struct {
+		Edge struct {
+			From        uint32  `toml:"from"`
+			ProbeFirst  int     `toml:"probe_first_ms"`
+			ProbeMost   int     `toml:"probe_most_ms"`
+			Warm        int     `toml:"warm_ms"`
+			WarmFrom    float64 `toml:"warm_from"`
+			EjectMost   float64 `toml:"eject_most"`
+			LimitFirst  float64 `toml:"limit_first"`
+			LimitMost   float64 `toml:"limit_most"`
+			Tries       int     `toml:"tries"`
+			RetryEarn   float64 `toml:"retry_earn"`
+			RetryBudget float64 `toml:"retry_budget"`
+		} `toml:"edge"`
+		Servers []Member `toml:"server"`
+	}
+	if err := decode("fleet.toml", text, &f); err != nil {
+		return Fleet{}, err
+	}
+	e := f.Edge
+	ms := func(n int) micro.Time { return micro.Time(n) * micro.Millisecond }
+	c := Fleet{Members: f.Servers, From: e.From,
+		Decide: fleet.Config{ProbeFirst: ms(e.ProbeFirst), ProbeMost: ms(e.ProbeMost), Warm: ms(e.Warm), WarmFrom: e.WarmFrom, EjectMost: e.EjectMost,
+			LimitFirst: e.LimitFirst, LimitMost: e.LimitMost},
+		Attempts: fleet.AttemptsConfig{Earn: e.RetryEarn, Most: e.RetryBudget, Tries: e.Tries}}
+	if len(c.Members) > maxMembers {
+		return c, fmt.Errorf("config: fleet.toml: server: %d are over %d", len(c.Members), maxMembers)
+	}
+	seen := map[string]bool{}
+	for i, m := range c.Members {
+		if m.Name == "" || len(m.Name) > 64 || strings.ContainsAny(m.Name, " \r\n\t") || seen[m.Name] {
+			return c, fmt.Errorf("config: fleet.toml: server %d: name: %q is not one word of its own", i+1, m.Name)
+		}
+		seen[m.Name] = true
+		if err := address(fmt.Sprintf("fleet.toml: server %d: address", i+1), m.Address); err != nil {
+			return c, err
+		}
+	}
+	check := c.Decide
+	check.Classes = 1 // the settings tell how many there are
+	for _, err := range []error{check.Check(), c.Attempts.Check()} {
+		if err != nil {
+			return c, fmt.Errorf("config: fleet.toml: edge: %w", err)
+		}
+	}
+	return c, nil
+}
+
 func parseAJP(text []byte) (AJP, error) {
 	var f ajpFile
 	if err := decode("ajp.toml", text, &f); err != nil {
--- a/internal/decide/fleet/attempts.go
+++ b/internal/decide/fleet/attempts.go
@@ -87,6 +87,7 @@
 	expires micro.Time
 	written bool // a try has left for it: it may have run
 	open    int
+	mayRun  bool // a try has ended without proof that it did not run
 	lost    bool // its outcome there is not known
 	dead    bool
 }
@@ -223,21 +224,27 @@
 	s.written, s.open, s.expires = true, s.open+1, max(s.expires, now+window)
 }
 
-// Returned notes how a try of an intake ended. What proves that nothing ran frees it, unless an earlier try may have.
-func (a *Attempts) Returned(now micro.Time, k Key, o Outcome, only bool) {
+// Returned notes how a try of an intake ended. What proves that nothing ran frees it, unless another try may have: one
+// that is out, or one that ended without proof, whichever request of the caller's it belonged to. Found by the hunt: a
+// server that had run an intake and come back refused a repeat, and the next one ran elsewhere.
+func (a *Attempts) Returned(now micro.Time, k Key, o Outcome) {
 	s := a.keys[k]
 	if s == nil {
 		return
 	}
 	s.open = max(s.open-1, 0)
 	switch {
-	case o.Proves() && only && s.open == 0:
+	case o.Proves():
+		if s.mayRun || s.open > 0 {
+			return
+		}
 		s.dead = true
 		delete(a.keys, k)
 	case o == Broken || o == TimedOut:
-		s.lost = true
-	case o == Served:
-		s.lost = false
+		s.lost, s.mayRun = true, true
+	default:
+		s.mayRun = true
+		s.lost = s.lost && o != Served
 	}
 }
 
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -27,6 +27,7 @@
 type Loop interface {
 	Now() micro.Time
 	Dial(addr string, open func(transport.Link) transport.Session) (drop func())
+	Try(addr string, open func(transport.Link) transport.Session, failed func()) (drop func())
 	Datagrams(addr string) error
 	Send([]byte)
 	Execute(func()) error
@@ -51,6 +52,7 @@
 	tenants  map[string]int
 	pool     *poolLink
 	backends *ajpRunner
+	servers  *fleetRunner
 	fronts   bag[*thriftSession]
 	offices  bag[*ajpSession]
 	requests int // taken by the core so far
@@ -74,7 +76,13 @@
 		s.tenants[t.Name] = i
 	}
 	var runner routing.Runner
-	if cfg.AJP.Runner != "" {
+	if len(cfg.Fleet.Members) > 0 {
+		var err error
+		if s.servers, err = newFleetRunner(s); err != nil {
+			return nil, fmt.Errorf("edge: %w", err)
+		}
+		runner = s.servers
+	} else if cfg.AJP.Runner != "" {
 		s.backends = newAJPRunner(s)
 		runner = s.backends
 	} else {
@@ -156,6 +164,9 @@
 	if s.pool != nil && len(s.pool.doubts) > 0 {
 		next = min(next, s.pool.check(now))
 	}
+	if s.servers != nil {
+		next = min(next, s.servers.check(now))
+	}
 	if s.backends != nil {
 		next = min(next, s.backends.check(now))
 	}
--- a/internal/edge/play_test.go
+++ b/internal/edge/play_test.go
@@ -101,6 +101,9 @@
 	s.dials = append(s.dials, d)
 	return func() { d.dropped = true }
 }
+func (s *stage) Try(addr string, open func(transport.Link) transport.Session, _ func()) func() {
+	return s.Dial(addr, open)
+}
 func (s *stage) Datagrams(addr string) error {
 	s.control, s.report = addr, ""
 	return nil
--- a/internal/faults/draw.go
+++ b/internal/faults/draw.go
@@ -45,12 +45,17 @@
 // Draw draws a script from a seed by a profile, for a world of that size; rate 0 takes the profile's load. The same
 // arguments give the same script.
 func Draw(seed uint64, name string, servers, proxies int, length micro.Time, rate float64) (Script, error) {
+	return DrawWith(seed, name, servers, proxies, 0, length, rate)
+}
+
+// DrawWith is Draw for a world with edges before the servers.
+func DrawWith(seed uint64, name string, servers, proxies, edges int, length micro.Time, rate float64) (Script, error) {
 	p, ok := profiles[name]
 	if !ok {
 		return Script{}, wrong("profile", "unknown %q; there are %s", name, strings.Join(Profiles(), ", "))
 	}
 	rng := rand.New(rand.NewPCG(seed, 0x6661756c))
-	s := Script{Seed: seed, Profile: name, Servers: servers, Proxies: proxies, Offices: max(proxies/2, 1), Length: length, Rate: rate,
+	s := Script{Seed: seed, Profile: name, Servers: servers, Proxies: proxies, Offices: max(proxies/2, 1), Edges: edges, Length: length, Rate: rate,
 		Store: rng.IntN(4) == 0}
 	if rate == 0 {
 		s.Rate = math.Round(p.load * ratePerServer * float64(servers) * (0.7 + 0.6*rng.Float64()))
@@ -99,6 +104,9 @@
 		f.Node, f.Peer = s.randomPair(rng, k)
 	} else if r.node != "" {
 		f.Node = s.randomNode(rng, r.node[0])
+		if s.Edges > 0 && strings.Contains(r.node, "e") && rng.IntN(5) == 0 {
+			f.Node = s.randomNode(rng, 'e')
+		}
 	}
 	if r.length { // mostly short, at times longer than any deadline
 		f.For = micro.Time(math.Exp(rng.Float64()*math.Log(400))*50) * micro.Millisecond
@@ -132,7 +140,7 @@
 }
 
 func (s *Script) randomNode(rng *rand.Rand, letter byte) string {
-	n := map[byte]int{'s': s.Servers, 'w': s.Servers, 'p': s.Proxies, 'o': s.Offices}[letter]
+	n := map[byte]int{'s': s.Servers, 'w': s.Servers, 'p': s.Proxies, 'o': s.Offices, 'e': s.Edges}[letter]
 	return fmt.Sprintf("%c%d", letter, rng.IntN(max(n, 1)))
 }
 
@@ -144,6 +152,21 @@
 		return name, "control"
 	}
 	peer := fmt.Sprintf("w%d", server)
+	if s.Edges > 0 {
+		edge := s.randomNode(rng, 'e')
+		switch rng.IntN(4) {
+		case 0:
+			return edge, name
+		case 1:
+			return name, edge
+		case 2: // callers talk with edges alone
+			if s.Proxies > 0 {
+				return s.randomNode(rng, 'p'), edge
+			}
+			return edge, name
+		}
+		return peer, name
+	}
 	switch n := rng.IntN(10); {
 	case n < 5 && s.Proxies > 0:
 		peer = s.randomNode(rng, 'p')
--- a/internal/faults/faults.go
+++ b/internal/faults/faults.go
@@ -68,11 +68,11 @@
 	Classes = []string{"block-view", "lot-update", "lot-intake"}
 )
 
-const anyNode = "spowc"
+const anyNode = "spowce"
 
 var kinds = map[Kind]rule{
-	Kill: {node: "s", length: true, hi: 1000}, Vanish: {node: "s", length: true}, Term: {node: "s", length: true},
-	Hup: {node: "s"}, Pause: {node: "s", length: true}, Slow: {node: "w", length: true, lo: 1, hi: 100},
+	Kill: {node: "se", length: true, hi: 1000}, Vanish: {node: "se", length: true}, Term: {node: "se", length: true},
+	Hup: {node: "s"}, Pause: {node: "se", length: true}, Slow: {node: "w", length: true, lo: 1, hi: 100},
 	Costly: {node: "w", length: true, what: Classes, lo: 1, hi: 100},
 	Stall:  {node: anyNode, peer: true, length: true}, Cut: {node: anyNode, peer: true, hi: 1e7},
 	Half: {node: anyNode, peer: true}, Lag: {node: anyNode, peer: true, length: true, hi: 10_000}, Thin: {node: anyNode, peer: true, length: true, lo: 1000, hi: 1e9},
@@ -113,6 +113,7 @@
 	Servers int
 	Proxies int
 	Offices int        // AJP front ends
+	Edges   int        // instances before the servers, to which all callers go; 0: they go to the servers
 	Store   bool       // the servers have a store of record
 	Length  micro.Time // that requests come; the run goes on until all is answered
 	Rate    float64    // first tries a second in all
@@ -172,7 +173,7 @@
 	for _, err := range []*Error{
 		within("servers", float64(s.Servers), 1, MaxServers), within("proxies", float64(s.Proxies), 0, MaxProxies),
 		within("offices", float64(s.Offices), 0, MaxProxies), within("seconds", s.Length.Duration().Seconds(), 0.001, MaxLength.Duration().Seconds()),
-		within("rate", s.Rate, 0, MaxRate), within("faults", float64(len(s.Faults)), 0, MaxFaults),
+		within("edges", float64(s.Edges), 0, MaxServers), within("rate", s.Rate, 0, MaxRate), within("faults", float64(len(s.Faults)), 0, MaxFaults),
 	} {
 		if err != nil {
 			return err
@@ -222,7 +223,7 @@
 	if name == "control" && strings.Contains(letters, "c") {
 		return nil
 	}
-	most := map[byte]int{'s': s.Servers, 'w': s.Servers, 'p': s.Proxies, 'o': s.Offices}[name[0]]
+	most := map[byte]int{'s': s.Servers, 'w': s.Servers, 'p': s.Proxies, 'o': s.Offices, 'e': s.Edges}[name[0]]
 	n, err := strconv.Atoi(name[1:])
 	if err != nil || name[0] == 'c' || !strings.Contains(letters, name[:1]) || strconv.Itoa(n) != name[1:] {
 		return wrong(field, "%q is no name that may stand here", name)
@@ -317,6 +318,8 @@
 			s.Proxies, err = strconv.Atoi(f.value)
 		case "offices":
 			s.Offices, err = strconv.Atoi(f.value)
+		case "edges":
+			s.Edges, err = strconv.Atoi(f.value)
 		case "store":
 			s.Store, err = strconv.ParseBool(f.value)
 		case "seconds":
@@ -388,6 +391,9 @@
 		fmt.Fprintf(&b, " profile=%s", s.Profile)
 	}
 	fmt.Fprintf(&b, " servers=%d proxies=%d offices=%d", s.Servers, s.Proxies, s.Offices)
+	if s.Edges > 0 {
+		fmt.Fprintf(&b, " edges=%d", s.Edges)
+	}
 	if s.Store {
 		b.WriteString(" store=true")
 	}
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -66,6 +66,21 @@
 	}
 }
 
+// Two edges before three servers keep all rules, among them that no intake runs on two servers within its window.
+func TestEdgeSeeds(t *testing.T) {
+	t.Parallel()
+	answers := 0
+	for seed := uint64(1); seed <= 60; seed++ {
+		s, err := faults.DrawWith(seed, []string{"worst", "release", "noon"}[seed%3], 3, 3, 2, 6*micro.Second, 0)
+		require.NoError(t, err)
+		out, err := Play(s, Options{})
+		require.NoError(t, err)
+		clean(t, s, out)
+		answers += out.Requests
+	}
+	require.Greater(t, answers, 60*100)
+}
+
 // digests plays fifty seeds one after another.
 func digests(t *testing.T) string {
 	var b strings.Builder
--- a/internal/routing/keys.go
+++ b/internal/routing/keys.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"hash/maphash"
+	"maps"
 
 	"pewterline/control"
 	"pewterline/internal/micro"
@@ -57,10 +58,13 @@
 	fresh  []*onceEntry              // seen in this turn and not yet kept
 	seed   maphash.Seed
 	swept  micro.Time
+	// Intakes that a runner lost sight of: they may have run, until then. Their repeats go to the runner again, but
+	// none is told that it was turned away.
+	doubts map[onceKey]micro.Time
 }
 
 func newKeyTable() keyTable {
-	return keyTable{byName: map[onceKey]*onceEntry{}, byID: map[control.ID]*onceEntry{}, seed: maphash.MakeSeed()}
+	return keyTable{byName: map[onceKey]*onceEntry{}, byID: map[control.ID]*onceEntry{}, doubts: map[onceKey]micro.Time{}, seed: maphash.MakeSeed()}
 }
 
 // check refuses a request whose key is another request's. Guards against an answer with the result of what was
@@ -116,6 +120,17 @@
 	}
 }
 
+// doubt forgets a run whose outcome the runner does not know, but for that it may have been one.
+func (t *keyTable) doubt(e *onceEntry, until micro.Time) {
+	t.doubts[e.name] = max(t.doubts[e.name], until)
+	t.unrun(e)
+}
+
+// doubtful says that an intake may have run, and nobody here knows.
+func (t *keyTable) doubtful(r *request, now micro.Time) bool {
+	return now < t.doubts[onceKey{r.Tenant, r.Once}]
+}
+
 // unrun forgets that a try has run: proof came that nothing was started.
 func (t *keyTable) unrun(e *onceEntry) {
 	e.ran = false
@@ -147,6 +162,7 @@
 		return
 	}
 	t.swept = now
+	maps.DeleteFunc(t.doubts, func(_ onceKey, until micro.Time) bool { return now >= until })
 	for _, e := range t.byName { // in any order: each goes or stays by itself
 		if now > e.expires+lateRead && (e.over || !e.ran || e.unsaved) && !e.saving {
 			t.remove(e)
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -62,6 +62,8 @@
 	Body  []byte
 	Once  bool       // it must not be run twice
 	Due   micro.Time // by then nobody waits for its end any more
+	// Request is what it came from, for runners that pass it on. It is not to be changed.
+	Request *Request
 }
 
 // Runner does the work. Each Start is followed by one Core.Finished, whatever happens to the runner's links.
@@ -81,6 +83,8 @@
 	Stopped      // stopped, its work is lost
 	Unneeded     // nothing was started: its caller had left already
 	Rejected     // nothing was started: the runner does not take it
+	Refusal      // nothing was started: it was turned away; see Declined
+	Doubtful     // whether it ran is not known; the runner sees to it that it does not run twice
 )
 
 type state uint8
@@ -95,6 +99,8 @@
 	Request
 	id       control.ID
 	read     micro.Time
+	after    micro.Time // of a runner's refusal
+	last     bool
 	state    state
 	answered bool // its caller has the answer, or has left
 	saving   bool // its run has ended, and the result is on its way to the store of record
@@ -360,13 +366,18 @@
 func (c *Core) start(r *request) {
 	k := c.settings.Classes[r.Class]
 	c.runner.Start(Run{ID: r.RunID, Class: k.Name, Body: r.Body, Once: r.key != nil,
-		Due: r.At + micro.Of(max(k.Deadline, k.Window))})
+		Due: r.At + micro.Of(max(k.Deadline, k.Window)), Request: &r.Request})
 }
 
 func (c *Core) refuse(r *request, a control.Refuse) {
 	if r == nil || r.state == running {
 		return // having run, a request is not turned away
 	}
+	if r.key != nil && c.keys.doubtful(r, c.now) { // guards an intake that may have run: it is not refused
+		c.answer(r, Answer{Status: Failed, Reason: "whether it ran is not known"})
+		c.forget(r)
+		return
+	}
 	c.answer(r, Answer{Status: Refused, After: micro.Of(a.StayAway), Last: a.Last})
 	c.forget(r)
 }
@@ -421,7 +432,11 @@
 	switch {
 	case k == nil || k.runner != r.id:
 		c.finish(r, end, result)
-	case end == Unneeded || end == Rejected:
+	case end == Doubtful:
+		// A repeat is passed to the runner again, which alone knows where it may have run and can ask there.
+		c.keys.doubt(k, r.At+micro.Of(c.settings.Classes[r.Class].Window))
+		c.conclude(k, r, end, nil)
+	case end == Unneeded || end == Rejected || end == Refusal:
 		if !c.passOn(r, end) {
 			c.keys.unrun(k) // nothing ran: a later try may
 			c.conclude(k, r, end, nil)
@@ -435,6 +450,17 @@
 	}
 }
 
+// Declined says that a run was turned away and never started anywhere: it ends as a refusal, with advice when to come
+// back, cut to what the settings allow.
+func (c *Core) Declined(id string, after micro.Time, last bool) {
+	r := c.runs[id]
+	if r == nil {
+		return
+	}
+	r.after, r.last = min(after, micro.Of(c.settings.MaxRetryAfter)), last
+	c.Finished(id, Refusal, nil)
+}
+
 // conclude ends the run of a key, and the waits for it. r is nil where the run itself has ended before.
 func (c *Core) conclude(k *onceEntry, r *request, end End, result []byte) {
 	waiters := k.waiters
@@ -490,6 +516,16 @@
 		// callers that make requests up.
 		outcome = control.OutcomeFull
 		c.answer(r, Answer{Status: Failed, Reason: "the runner does not take it"})
+	case Refusal:
+		outcome = control.OutcomeFull
+		a := Answer{Status: Refused, After: r.after, Last: r.last}
+		if r.key != nil && c.keys.doubtful(r, c.now) {
+			a = Answer{Status: Failed, Reason: "whether it ran is not known"}
+		}
+		c.answer(r, a)
+	case Doubtful:
+		outcome = control.OutcomeTimeout
+		c.answer(r, Answer{Status: Failed, Reason: "whether it ran is not known"})
 	case Stopped:
 		outcome = control.OutcomeCancelled
 		c.answer(r, Answer{Status: Failed, Reason: "the run was stopped"})
--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -77,9 +77,13 @@
 type Observer struct {
 	Rules      Rules
 	Violations []Violation
-	Most       int // violations that are told; further ones are counted alone
-	Answers    map[string]int
-	Seen       map[string]int // how often each situation came about, faults aside
+	// OnRequest and OnOver, where they are set, hear of each request that an edge has got to a server, and of its end: what a
+	// worker pool of the platform knows by itself.
+	OnRequest func(id, server, class string, body []byte)
+	OnOver    func(id string)
+	Most      int // violations that are told; further ones are counted alone
+	Answers   map[string]int
+	Seen      map[string]int // how often each situation came about, faults aside
 
 	w       *virtual.World
 	wall    virtual.Wall
@@ -91,7 +95,9 @@
 	audit   micro.Time
 	reached map[search.Situation]struct{}
 	faulty  []fault
-	stored  map[string]*run // by server and once-key: intakes answered as served, in any life
+	made    map[string]bool        // results of all runs anywhere
+	ran     map[string][]globalRun // by once-key, at any server
+	stored  map[string]*run        // by server and once-key: intakes answered as served, in any life
 }
 
 type fault struct {
@@ -99,6 +105,14 @@
 	until        micro.Time
 }
 
+// globalRun is a run of an intake at some server.
+type globalRun struct {
+	u      *run
+	server string
+	from   string // the caller: an edge, where there are edges
+	life   int    // of that caller
+}
+
 type due struct {
 	at micro.Time
 	r  *request
@@ -196,13 +210,15 @@
 	result    []byte
 	broken    bool // no message can be told from the next any more
 	left      bool // the caller closed its end, or the network did
+	from      string
+	fromLife  int
 	lastGiven int32
 }
 
 // New returns an observer of a world. Its Tap is for the network.
 func New(w *virtual.World, r Rules) *Observer {
 	o := &Observer{Rules: r, Most: 5, w: w, classes: map[string]int{}, servers: map[string]*server{}, conns: map[uint64]*conn{},
-		Answers: map[string]int{}, Seen: map[string]int{}, stored: map[string]*run{}, reached: map[search.Situation]struct{}{}}
+		Answers: map[string]int{}, Seen: map[string]int{}, stored: map[string]*run{}, made: map[string]bool{}, ran: map[string][]globalRun{}, reached: map[search.Situation]struct{}{}}
 	for i, c := range r.Settings.Classes {
 		o.classes[c.Name] = i
 	}
@@ -413,7 +429,7 @@
 
 func (o *Observer) opened(v virtual.Event) {
 	host, what, _ := strings.Cut(v.Addr, "/")
-	c := &conn{s: o.servers[host]}
+	c := &conn{s: o.servers[host], from: v.Node, fromLife: v.Life}
 	switch {
 	case host[0] == 'w':
 		c.kind, c.s = link, o.servers["s"+host[1:]]
@@ -585,6 +601,7 @@
 		}
 		if !r.gaveUp {
 			r.gaveUp = true
+			o.overAt(r)
 			o.note(r, "given up")
 			o.reach(c.s, fmt.Sprintf("give-up running%v keyed%v", r.running, r.once != ""))
 			if u := c.s.runs[r.id]; u != nil && u.ended {
@@ -635,6 +652,9 @@
 		k.tries = append(k.tries, r)
 	}
 	s.reqs[r.id] = r
+	if o.OnRequest != nil && c.from[0] == 'e' {
+		o.OnRequest(r.id, s.name, cl.Name, body)
+	}
 	s.open = append(s.open, r)
 	o.note(r, "%s read, asked at %v, due at %v", cl.Name, (r.at - virtual.Start).Duration(), (o.due(r) - virtual.Start).Duration())
 	at := o.due(r) + o.Rules.Grace + socketGrace
@@ -670,10 +690,17 @@
 	o.answered(r, kind, p.Body)
 }
 
+func (o *Observer) overAt(r *request) {
+	if o.OnOver != nil && r.c.from[0] == 'e' {
+		o.OnOver(r.id)
+	}
+}
+
 // answered judges one final answer.
 func (o *Observer) answered(r *request, kind string, result []byte) {
 	s, now := r.s, o.w.Now()
 	r.answers++
+	o.overAt(r)
 	o.Answers[kind]++
 	o.note(r, "%s", kind)
 	if r.answers > 1 {
@@ -695,6 +722,12 @@
 		} else if u := o.ranWithin(s, r); u != nil {
 			o.report("duplicate", s, r, "refused though the intake ran: request %s, run as %s", r.id, u.id)
 		}
+		for _, g := range o.ran[r.once] { // by way of this edge
+			if r.once != "" && g.from == s.name && g.life == s.life && g.u.made && r.at < g.u.at+o.window(r) {
+				o.report("duplicate", s, r, "refused though the intake ran: request %s, run as %s on %s", r.id, g.u.id, g.server)
+				break
+			}
+		}
 	case "served":
 		o.judgeResult(s, r, result)
 		if k := s.keys[r.once]; o.Rules.Store && k != nil && len(k.runs) > 0 {
@@ -733,6 +766,9 @@
 			return
 		}
 	}
+	if s.name[0] == 'e' && o.made[string(result)] && strings.HasPrefix(string(result), resultOf(r.body)) {
+		return // the servers behind an edge made it
+	}
 	// A record of an earlier life may answer a repeat: its result tells what it was made for.
 	if r.once != "" && s.life > 1 && strings.HasPrefix(string(result), resultOf(r.body)) {
 		return
@@ -793,6 +829,13 @@
 			o.report("duplicate", s, r, "run again though it is on record: as %s and as %s", prev.id, m.ID)
 		}
 		s.keys[r.once].runs = append(s.keys[r.once].runs, u)
+		// No intake runs on two servers within its window, as long as the edge that has it lives.
+		for _, g := range o.ran[r.once] {
+			if r.c.from[0] == 'e' && g.server != s.name && g.from == r.c.from && g.life == r.c.fromLife && g.u.made && r.at < g.u.at+o.window(r) {
+				o.report("duplicate", s, r, "run on two servers: on %s as %s and on %s as %s", g.server, g.u.id, s.name, m.ID)
+			}
+		}
+		o.ran[r.once] = append(o.ran[r.once], globalRun{u, s.name, r.c.from, r.c.fromLife})
 	}
 	if s.noticed != micro.Never && r.arrived > s.noticed+o.Rules.DrainMost+socketGrace {
 		o.report("drain", s, r, "run past the limit: request %s came %v after the notice", m.ID, (r.arrived - s.noticed).Duration())
@@ -813,6 +856,9 @@
 		}
 		u.ended, u.end, u.result = true, m.End, append([]byte(nil), m.Result...)
 		u.made = m.End != pool.Noop
+		if m.End == pool.Pass {
+			o.made[string(u.result)] = true
+		}
 		o.crowded(s, -1)
 		if r := s.reqs[m.ID]; r != nil {
 			r.running = false
@@ -923,7 +969,7 @@
 
 // auditServer looks at the link, the memory booked and the crowd on the cores.
 func (o *Observer) auditServer(s *server, now micro.Time) {
-	if s.links > 0 || s.pausedAt(now) || s.pausedAt(now-redialMost) || s.noticed != micro.Never {
+	if s.links > 0 || s.name[0] == 'e' || s.pausedAt(now) || s.pausedAt(now-redialMost) || s.noticed != micro.Never {
 		s.tried = now
 	} else if now > s.tried+redialMost {
 		o.report("recovery", s, nil, "no try to reach the worker pool: for %v", (now - s.tried).Duration())
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -419,6 +419,7 @@
 	loop    *Loop
 	addr    string
 	open    func(Link) Session
+	failed  func() // nil: it is tried again until it opens
 	wait    micro.Time
 	again   micro.Time // when it is to be tried again
 	dropped bool       // nobody wants it any more
@@ -436,6 +437,14 @@
 	return func() { d.dropped = true }
 }
 
+// Try opens a connection to addr once: open gives its session, or failed says that it came to nothing. Neither is
+// called after drop.
+func (l *Loop) Try(addr string, open func(Link) Session, failed func()) (drop func()) {
+	d := &Dial{loop: l, addr: addr, open: open, failed: failed}
+	l.driver.Dial(d)
+	return func() { d.dropped = true }
+}
+
 // Connected takes up a link that has opened. It returns nil where the driver is to close it.
 func (l *Loop) Connected(d *Dial, w Wire) *Conn {
 	l.touch()
@@ -453,6 +462,10 @@
 	if d.dropped || planted.Bug(planted.NoRedial) && d.wait > redialFirst {
 		return
 	}
+	if d.failed != nil {
+		d.failed()
+		return
+	}
 	d.again, d.wait = l.now+d.wait, min(2*d.wait, redialMost)
 	l.failed = append(l.failed, d)
 }
