--- a/cmd/pewterlab/main.go
+++ b/cmd/pewterlab/main.go
@@ -280,7 +280,7 @@
 
 func (c *learnCmd) Run(out io.Writer) (int, error) {
 	code := clean
-	fmt.Fprintf(out, "%-8s %28s %28s %24s %10s\n", "advice", "tries wasted (50% 90%)", "connects to the dead", "worth (10% 50%)", "bytes/s")
+	fmt.Fprintf(out, "%-8s %28s %28s %24s %10s\n", "advice", "tries wasted (50% 90%)", "in the first 2 s (50% 90%)", "worth (10% 50%)", "bytes/s")
 	for _, advice := range []bool{false, true} {
 		results := make([]lab.LearnResult, c.Seeds)
 		errs := make([]error, c.Seeds)
@@ -307,7 +307,7 @@
 			return v[min(int(q*float64(len(v))), len(v)-1)]
 		}
 		wasted := func(r lab.LearnResult) float64 { return float64(r.Wasted) }
-		right := func(r lab.LearnResult) float64 { return float64(r.Connects) }
+		right := func(r lab.LearnResult) float64 { return float64(r.Early) }
 		worth := func(r lab.LearnResult) float64 { return r.Worth }
 		bytes := func(r lab.LearnResult) float64 { return float64(r.Exchanged) / 19 / float64(c.Edges) }
 		fmt.Fprintf(out, "%-8v %20.0f %7.0f %22.0f %7.0f %17.3f %6.3f %10.0f\n", advice, at(0.5, wasted), at(0.9, wasted), at(0.5, right), at(0.9, right),
--- a/internal/decide/fleet/knowledge.go
+++ b/internal/decide/fleet/knowledge.go
@@ -54,6 +54,7 @@
 	// evidencePerSecond is what an instance can have learned of one server in a second of its life.
 	evidencePerSecond = 1.0
 	slowMost          = float64(60 * micro.Second)
+	together          = micro.Second // within which two sights of a server are of the same time
 	// What our own state is worth to others, at least.
 	deadEvidence    = 8
 	suspectEvidence = 4
@@ -134,17 +135,20 @@
 	return out
 }
 
-// Dead is the weight of what speaks against a server, less what speaks for it; never below 0.
+// Dead is the weight of what speaks against a server, less what has spoken for it since; never below 0.
 func (k Knowledge) Dead(now micro.Time, server string) float64 {
-	sum := 0.0
+	sum, last := 0.0, micro.Time(-1)
 	for _, h := range k.of(server, Dead) {
 		sum += k.weight(now, h)
+		last = max(last, h.at)
 	}
 	if sum == 0 {
 		return 0
 	}
 	for _, h := range k.of(server, Alive) {
-		sum -= k.weight(now, h)
+		if h.at > last-together { // who heard it well before it died does not know better
+			sum -= k.weight(now, h)
+		}
 	}
 	return max(sum, 0)
 }
--- a/internal/lab/learn.go
+++ b/internal/lab/learn.go
@@ -25,6 +25,7 @@
 type LearnResult struct {
 	Wasted     int     // tries that came to nothing for want of a server
 	Connects   int     // to dead servers
+	Early      int     // tries wasted in the first two seconds
 	Worth      float64 // served in time, of what callers asked for while the fresh instance was young
 	Exchanged  int     // bytes that all instances have told each other, over the whole run
 	Violations int
@@ -71,6 +72,7 @@
 			}
 		}
 		l.w.At(fresh, func() { worth[0], wanted[0] = l.st.Worth, l.st.Wanted })
+		l.w.At(fresh+2*micro.Second, func() { r.Early = l.edges[0].srv.Wasted() })
 		l.w.At(fresh+learnYoung, func() {
 			r.Wasted = l.edges[0].srv.Wasted()
 			worth[1], wanted[1] = l.st.Worth, l.st.Wanted
