--- a/cmd/pewterline/main.go
+++ b/cmd/pewterline/main.go
@@ -3,7 +3,6 @@
 package main
 
 import (
-	"fmt"
 	"log"
 	"os"
 	"os/signal"
@@ -24,14 +23,11 @@
 const spareSockets = 40
 
 func main() {
-	log.SetFlags(log.Ltime | log.Lmicroseconds)
-	if err := run(); err != nil {
-		fmt.Fprintln(os.Stderr, "pewterline:", err)
-		os.Exit(1)
-	}
+	os.Exit(command(os.Args[1:], os.Getenv, os.Stdout, os.Stderr))
 }
 
-func run() error {
+func serve() error {
+	log.SetFlags(log.Ltime | log.Lmicroseconds)
 	cfg, err := config.Load(os.Getenv)
 	if err != nil {
 		return err
--- a/cmd/pewterline/main_test.go
+++ b/cmd/pewterline/main_test.go
@@ -59,7 +59,7 @@
 	third, thirdBinds := standIn(t)
 	write(first, "")
 	done := make(chan error, 1)
-	go func() { done <- run() }()
+	go func() { done <- serve() }()
 	require.Equal(t, "bind 0\r\n", <-firstBinds)
 
 	write(second, reports.LocalAddr().String())
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -133,6 +133,49 @@
 	return parse(text, ajp, store, fleetText, getenv("RELAY_NAME"), getenv("RELAY_LISTEN"))
 }
 
+// Problem is what is wrong with one file.
+type Problem struct {
+	File string // as named, or its usual path
+	Err  error
+}
+
+// CheckAll looks at every file by itself and tells each one's first fault, and what does not fit together.
+func CheckAll(getenv func(string) string) (out []Problem) {
+	texts := map[string][]byte{}
+	for _, f := range []struct {
+		key, path string
+		parse     func([]byte) error
+	}{
+		{"RELAY_AJP", defaultAJPFile, func(t []byte) error { _, err := parseAJP(t); return err }},
+		{"RELAY_STORE", defaultStoreFile, func(t []byte) error { _, err := parseStore(t); return err }},
+		{"RELAY_FLEET", defaultFleetFile, func(t []byte) error { _, err := parseFleet(t); return err }},
+	} {
+		text, err := optional(getenv, f.key, f.path)
+		if err == nil {
+			err = f.parse(text)
+		}
+		if err != nil {
+			out = append(out, Problem{orString(getenv(f.key), f.path), err})
+			continue
+		}
+		texts[f.key] = text
+	}
+	path := getenv("RELAY_CONFIG")
+	text, err := os.ReadFile(path)
+	switch {
+	case path == "":
+		err = errors.New("config: RELAY_CONFIG: not set; it names the JSON file")
+	case err == nil: // with the faulty ones of the others left out
+		_, err = parse(text, texts["RELAY_AJP"], texts["RELAY_STORE"], texts["RELAY_FLEET"], getenv("RELAY_NAME"), getenv("RELAY_LISTEN"))
+	default:
+		err = fmt.Errorf("config: RELAY_CONFIG: %w", err)
+	}
+	if err != nil {
+		out = append(out, Problem{orString(path, "RELAY_CONFIG"), err})
+	}
+	return out
+}
+
 // optional reads a file that may be missing, unless the environment names it.
 func optional(getenv func(string) string, key, path string) ([]byte, error) {
 	named := getenv(key)
