--- a/internal/decide/fleet/attempts.go
+++ b/internal/decide/fleet/attempts.go
@@ -186,8 +186,8 @@
 func (a *Attempts) After(now micro.Time, q Ask) Verdict {
 	verdict, end := AgainElsewhere, SayFailed
 	switch {
-	case q.Outcome == Refused:
-		end = SayRefused
+	case q.Outcome == Refused, q.Outcome == Unreached && !(q.Keyed && a.MayHaveRun(now, q.Key)):
+		end = SayRefused // it ran nowhere, and that is what its caller is told
 	case q.Keyed && a.MayHaveRun(now, q.Key):
 		// It goes to that server or nowhere. One that still answers can tell; a lost one cannot.
 		verdict, end = AgainThere, SayUnknown
--- a/internal/decide/fleet/attempts_test.go
+++ b/internal/decide/fleet/attempts_test.go
@@ -57,7 +57,10 @@
 		require.Equal(t, SayRefused, a.After(second, q))
 		require.Equal(t, before, a.tokens, "and it costs nothing")
 	}
-	q := ask(Broken)
+	q := ask(Unreached)
+	q.Finishes = micro.Never
+	require.Equal(t, SayRefused, a.After(second, q), "nobody took the connection: it ran nowhere")
+	q = ask(Broken)
 	q.Safe = false
 	require.Equal(t, SayFailed, a.After(second, q), "it may have run, and is not safe to run again")
 }
--- /dev/null
+++ b/internal/edge/fleet_test.go
@@ -0,0 +1,103 @@
+package edge
+
+import (
+	"fmt"
+	"net"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"pewterline/internal/config"
+	"pewterline/internal/decide/fleet"
+	"pewterline/internal/micro"
+	"pewterline/internal/protocol/thrift"
+)
+
+// serveEdge runs an edge on real sockets before servers at those addresses.
+func serveEdge(t *testing.T, addresses ...string) (thriftAddr, ajpAddr string) {
+	cfg := testConfig(t, "")
+	for i, a := range addresses {
+		cfg.Fleet.Members = append(cfg.Fleet.Members, config.Member{Name: fmt.Sprintf("n%d", i+1), Address: a})
+	}
+	thriftAddr, ajpAddr, _ = serveLoopback(t, cfg, "")
+	return thriftAddr, ajpAddr
+}
+
+// An intake sent to an edge by Thrift, and again by AJP while its run goes on, runs once behind it: on one server, and on no
+// other. Every server is a whole one, on real sockets.
+func TestLoopbackEdgeOnce(t *testing.T) {
+	pools, addresses := make([]*socketPool, 3), make([]string, 3)
+	for i := range pools {
+		pools[i] = newSocketPool(t)
+		addresses[i], _, _ = serveLoopback(t, testConfig(t, pools[i].ln.Addr().String()), "")
+	}
+	desk, office := serveEdge(t, addresses...)
+	a, b := dial(t, desk, thrift.Split), dial(t, office, splitContainer)
+	sendIntake(a, "k1")
+	var at *socketPool
+	var id string
+	select { // whichever server the edge chose
+	case id = <-pools[0].started:
+		at = pools[0]
+	case id = <-pools[1].started:
+		at = pools[1]
+	case id = <-pools[2].started:
+		at = pools[2]
+	}
+	forwardIntake(b, "k1")
+	at.finish(id, "lot 7 recorded")
+	p, err := thrift.DecodeReply(a.read())
+	require.NoError(t, err)
+	require.Equal(t, thrift.Answered, p.Kind)
+	require.Equal(t, "lot 7 recorded", string(p.Body))
+	require.Equal(t, "lot 7 recorded", readOK(b))
+	for _, p := range pools {
+		require.Empty(t, p.started, "it ran once")
+	}
+}
+
+// What refuses connects is left out at once, and its requests are served elsewhere: nothing of it reaches the caller.
+func TestLoopbackEdgeLeavesOutTheDead(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	dead := ln.Addr().String()
+	require.NoError(t, ln.Close())
+	pool := newSocketPool(t)
+	alive, _, _ := serveLoopback(t, testConfig(t, pool.ln.Addr().String()), "")
+	desk, _ := serveEdge(t, dead, alive)
+	go func() {
+		for id := range pool.started {
+			pool.finish(id, "done")
+		}
+	}()
+	a := dial(t, desk, thrift.Split)
+	for i := range 20 {
+		sendIntake(a, fmt.Sprintf("k%d", i))
+		p, err := thrift.DecodeReply(a.read())
+		require.NoError(t, err)
+		require.Equal(t, thrift.Answered, p.Kind, i)
+	}
+}
+
+// An edge whose servers have all gone refuses at once, with advice, and holds nothing back.
+func TestLoopbackEdgeWithoutServers(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	dead := ln.Addr().String()
+	require.NoError(t, ln.Close())
+	desk, _ := serveEdge(t, dead)
+	a := dial(t, desk, thrift.Split)
+	sendIntake(a, "k1")
+	p, err := thrift.DecodeReply(a.read())
+	require.NoError(t, err)
+	require.Equal(t, thrift.Throttled, p.Kind)
+	require.NotEmpty(t, p.Fields["after"])
+}
+
+// Guards the decision to be left with the door: an edge with faulty figures does not start.
+func TestEdgeChecksItsFigures(t *testing.T) {
+	cfg := testConfig(t, "")
+	cfg.Fleet = config.Fleet{Members: []config.Member{{Name: "n1", Address: "127.0.0.1:1"}}, Decide: fleet.Config{WarmFrom: 7}}
+	_, err := New(cfg, micro.NewClock(), t.Logf)
+	require.ErrorContains(t, err, "warm_from")
+}
