Read an edge's list of servers anew on SIGHUP

Need: servers come and go while an edge serves. Change: new ones get traffic at once; one that was taken out finishes what it has and gets nothing but repeats of intakes that it may have run; a changed address is dialled for what is new. Result: a test reloads under an open intake, which is not run elsewhere.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"pewterline/control"
 	"pewterline/internal/config"
@@ -123,13 +124,18 @@
 		s.cfg.Pool = next.Pool
 		s.pool.dial()
 	}
+	if s.servers != nil && len(next.Fleet.Members) > 0 && !slices.Equal(next.Fleet.Members, s.cfg.Fleet.Members) {
+		s.cfg.Fleet.Members = next.Fleet.Members
+		s.servers.reload(next.Fleet.Members)
+		s.logf("edge: configuration read anew: %d log servers", len(next.Fleet.Members))
+	}
 	s.cfg.Stop = next.Stop
 	for _, k := range []struct {
 		key     string
 		changed bool
 	}{
 		{"name", next.Name != s.cfg.Name}, {"listen", next.Listen != s.cfg.Listen},
-		{"limits.memory_mb", next.Memory != s.cfg.Memory}, {"limits.sockets", next.Sockets != s.cfg.Sockets},
+		{"fleet.toml: server", (len(next.Fleet.Members) > 0) != (s.servers != nil)}, {"limits.memory_mb", next.Memory != s.cfg.Memory}, {"limits.sockets", next.Sockets != s.cfg.Sockets},
 	} {
 		if k.changed {
 			s.logf("edge: configuration read anew: %s holds until a restart", k.key)
--- a/internal/edge/fleet_test.go
+++ b/internal/edge/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -101,3 +102,47 @@
 	_, err := New(cfg, micro.NewClock(), t.Logf)
 	require.ErrorContains(t, err, "warm_from")
 }
+
+// The list of servers is read anew while an edge serves: a new server is used, one that was taken out gets nothing new, but
+// an intake that may have run there is not run elsewhere.
+func TestEdgeReloadsItsServers(t *testing.T) {
+	cfg := testConfig(t, "")
+	cfg.Fleet.Members = []config.Member{{Name: "n1", Address: "a1"}}
+	s := &stage{t: t, now: micro.Second, links: map[string]*fakeLink{}, control: "control"}
+	var err error
+	s.srv, err = New(cfg, unixZero{}, t.Logf)
+	require.NoError(t, err)
+	s.srv.Attach(s)
+	desk := s.connect("c1", 0)
+	ask := func(seq int32, class, once string) {
+		s.deliver(desk, thrift.AppendCall(nil, seq, []thrift.Field{{Name: "class", Value: class}, {Name: "id", Value: fmt.Sprintf("%016x", seq)},
+			{Name: "at", Value: fmt.Sprint(int64(s.now / micro.Millisecond))}, {Name: "from", Value: "1"}, {Name: "tenant", Value: "lake-vines"},
+			{Name: "kb", Value: "20"}, {Name: "rank", Value: "0.9"}, {Name: "once", Value: once}}, []byte("lot")))
+		s.turn()
+	}
+	ask(1, "lot-intake", "k1")
+	require.Equal(t, "a1", s.dials[0].addr)
+	n1 := s.connect("n1", -1)
+	s.turn()
+	require.Contains(t, string(n1.out), "k1")
+	n1.out = nil
+
+	next := cfg
+	next.Fleet.Members = []config.Member{{Name: "n2", Address: "a2"}}
+	require.NoError(t, s.srv.Reload(next))
+	ask(2, "block-view", "")
+	require.Equal(t, "a2", s.dials[0].addr, "the new one gets what is new")
+	n2 := s.connect("n2", -1)
+	s.turn()
+	require.NotEmpty(t, n2.out)
+	n2.out = nil
+
+	n1.closed = true // n1 is lost with the intake written
+	s.turn()
+	ask(3, "lot-intake", "k1")
+	require.Empty(t, n2.out, "it may have run on n1")
+	require.Equal(t, "a1", s.dials[0].addr)
+	require.True(t, slices.ContainsFunc(s.srv.servers.members, func(m *fleetMember) bool { return m.Name == "n1" && m.gone > 0 }))
+	s.srv.servers.forgetGone(s.now + goneKept + micro.Second)
+	require.NotNil(t, s.srv.servers.byName["n1"], "something is open there")
+}
--- a/internal/edge/fleetrunner.go
+++ b/internal/edge/fleetrunner.go
@@ -46,6 +46,7 @@
 type fleetMember struct {
 	config.Member
 	links []*fleetLink
+	gone  micro.Time // it was taken out of the list then; 0: it is in
 }
 
 // fleetRun is a run that has not ended.
@@ -112,6 +113,52 @@
 	r.route(q)
 }
 
+// goneKept is how long a server that was taken out of the list is still known: past any window, as an intake that may
+// have run there goes nowhere else.
+const goneKept = 600 * micro.Second
+
+// reload takes up a list of servers that was read anew. What is out stays out until it has ended; a server that was taken
+// out gets nothing new but repeats of intakes that it may have run.
+func (r *fleetRunner) reload(members []config.Member) {
+	now := r.now()
+	in := map[string]bool{}
+	for _, m := range members {
+		in[m.Name] = true
+		old := r.byName[m.Name]
+		if old == nil {
+			old = &fleetMember{Member: m}
+			r.byName[m.Name] = old
+			r.members = append(r.members, old)
+		}
+		if old.Address != m.Address { // what is open there ends; new connections go to the new address
+			old.Address = m.Address
+			for _, l := range old.links {
+				l.bidden = true
+				l.rest()
+			}
+		}
+		old.gone = 0
+		r.fleet.Add(now, m.Name)
+	}
+	for _, m := range r.members {
+		if !in[m.Name] && m.gone == 0 {
+			m.gone = now
+			r.fleet.Remove(m.Name)
+		}
+	}
+}
+
+// forgetGone drops servers that were taken out long ago.
+func (r *fleetRunner) forgetGone(now micro.Time) {
+	r.members = slices.DeleteFunc(r.members, func(m *fleetMember) bool {
+		drop := m.gone > 0 && now > m.gone+goneKept && len(m.links) == 0
+		if drop {
+			delete(r.byName, m.Name)
+		}
+		return drop
+	})
+}
+
 // route sends a run to the server that may have run it, or to the one chosen. Where none takes it, that is told later
 // in the turn.
 func (r *fleetRunner) route(q *fleetRun) {
@@ -289,6 +336,7 @@
 		r.sweepAt = now + fleetSweep
 		r.fleet.Sweep(now)
 		r.closeIdle(now)
+		r.forgetGone(now)
 	}
 	if r.exchange != nil {
 		next = r.exchange.check(now)
