Ask for signals before the files are read, so that an early SIGTERM drains

Seen: told to leave while it reads its configuration, the server was killed by the signal, and a SIGHUP then would have killed it as well. The test holds the configuration's pipe open meanwhile; before the change it says "signal: terminated". On a release of half a fleet many servers are in that moment.

Lines at fault: serve() called signal.Notify behind config.Load. It now comes first. What is left is the runtime's own start, 3.6 ms by GODEBUG=inittrace=1, in which no program can ask for signals.

--- a/cmd/pewterline/build_test.go
+++ b/cmd/pewterline/build_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"debug/elf"
 	"encoding/json"
 	"fmt"
@@ -91,6 +92,31 @@
 	}
 	require.NoError(t, cmd.Process.Signal(syscall.SIGTERM))
 	require.NoError(t, <-ended)
+	t.Run("told to leave while it starts", func(t *testing.T) { leaveAtTheStart(t, program, path) })
+}
+
+// leaveAtTheStart guards against a release that overtakes itself: the notice to leave finds a program that still reads its
+// configuration, here from a pipe that the test holds. It starts, drains and ends as told, and is not killed.
+func leaveAtTheStart(t *testing.T, program, config string) {
+	pipe := filepath.Join(t.TempDir(), "config.json")
+	require.NoError(t, syscall.Mkfifo(pipe, 0o600))
+	cmd := exec.Command(program)
+	cmd.Dir = "../.."
+	cmd.Env = append(os.Environ(), "RELAY_CONFIG="+pipe, "RELAY_LISTEN=127.0.0.1:0", "RELAY_AJP=", "RELAY_STORE=", "RELAY_FLEET=")
+	var log bytes.Buffer
+	cmd.Stderr = &log
+	require.NoError(t, cmd.Start())
+	defer func() { _ = cmd.Process.Kill() }()
+	w, err := os.OpenFile(pipe, os.O_WRONLY, 0) // returns once the program has opened it
+	require.NoError(t, err)
+	require.NoError(t, cmd.Process.Signal(syscall.SIGTERM))
+	text, err := os.ReadFile(config)
+	require.NoError(t, err)
+	_, err = w.Write(text)
+	require.NoError(t, err)
+	require.NoError(t, w.Close())
+	require.NoError(t, cmd.Wait(), log.String())
+	require.Contains(t, log.String(), "draining")
 }
 
 // openSockets are those that a process holds.
--- a/cmd/pewterline/main.go
+++ b/cmd/pewterline/main.go
@@ -28,6 +28,12 @@
 
 func serve() error {
 	log.SetFlags(log.Ltime | log.Lmicroseconds)
+	// Before all else: a signal that comes while the program starts waits for it. Guards against SIGHUP or SIGTERM killing
+	// a server that reads its files, when many start at once. There is room for several, so that none is lost behind
+	// another.
+	signals := make(chan os.Signal, 8)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	defer signal.Stop(signals)
 	cfg, err := config.Load(os.Getenv)
 	if err != nil {
 		return err
@@ -36,11 +42,6 @@
 	// the binary included, is more than the heap. Two threads, so that a timer fires while the loop waits.
 	debug.SetMemoryLimit(cfg.Memory / 2)
 	runtime.GOMAXPROCS(2)
-	// From here on: a signal that comes while the program starts waits for it. There is room for several, so that
-	// none is lost behind another.
-	signals := make(chan os.Signal, 8)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	defer signal.Stop(signals)
 	clock, logf := micro.NewClock(), newCapped().Logf
 	srv, err := edge.New(cfg, clock, logf)
 	if err != nil {
