Hold the pool's notices to their order, and ask anew for what is missing

Seen by reading: the last number read was taken as it came (poolLink.take, `p.notice = m.Notice`), so that one notice with a number spoilt upwards would make all that follow pass for read: no run would ever end, and all slots leak. In the test, before the change, the link goes on after "finished 1000000" and both requests stay unanswered. A length up to 64 KiB was waited for where the protocol ends at 4 KiB, and a notice for a run that was never sent was served.

Change: a notice out of order ends the link, and the next one is bound with the last that came in order. Remarks account for their numbers, whether they take any or not. What the next link lacks too is lost, with a log line. A result is at most 4 KiB, and one for a run that was never sent is nobody's. The lab's worker pool now numbers its remarks as the platform's does.

Tests: TestSpoiltNotices, TestSpoiltNoticeOfAnIntake, TestNoticeOfARunNeverSent, TestNoticesLostForGood, TestRemarksMayTakeNumbers; the first four fail with the old lines.

--- a/internal/edge/link_test.go
+++ b/internal/edge/link_test.go
@@ -148,3 +148,110 @@
 	l.caller, l.seq = l.stage.connect("c3", 0), 0
 	require.Contains(t, l.ask("00000000000000a3", "lot-intake", "k1"), "spawn 00000000000000a3")
 }
+
+// Guards the runs against spoilt notices: a number that is too high, one that is missing and one that comes again, a
+// length past what a result may have, a result cut in the middle, and the end of a run that the pool was never given. None
+// of it is served, the next link is bound with the last notice that came in order, and what comes on it is the answer.
+func TestSpoiltNotices(t *testing.T) {
+	for name, spoilt := range map[string]string{
+		"too high":           "finished 1000000 " + view + " PASS 8 3\r\nbad\r\n",
+		"missing":            "finished 2 00000000000000c3 PASS 8 2\r\nc3\r\n",
+		"too long":           "finished 1 " + view + " PASS 8 4097\r\n",
+		"length too small":   "finished 1 " + view + " PASS 8 1\r\nbad\r\n",
+		"no end":             "finished 1 " + view + " DONE 8 2\r\nok\r\n",
+		"no number":          "finished one " + view + " PASS 8 2\r\nok\r\n",
+		"negative":           "finished -1 " + view + " PASS 8 2\r\nok\r\n",
+		"cut in the middle":  "finished 1 " + view + " PASS 8 2\r\no\r\nfinished 2 00000000000000c3 PASS 8 2\r\nc3\r\n",
+		"words are missing":  "finished 1 " + view + " 2\r\nok\r\n",
+		"no line ever ends":  strings.Repeat("x", 1<<10),
+		"no message at all":  "finnished 1\r\n",
+		"bound with no word": "bound MAYBE 0\r\n",
+	} {
+		l := newLinked(t)
+		l.ask(view, "block-view", "")
+		l.ask("00000000000000c3", "block-view", "")
+		l.tell(spoilt)
+		require.Nil(t, l.pool.session, name+": the link is closed")
+		require.Empty(t, l.replies(), name)
+		l.links++
+		l.pool = l.stage.connect("pool", -1)
+		l.turn()
+		require.Equal(t, "bind 0\r\n", string(l.pool.out), name)
+		l.tell("bound LOADED 100\r\nfinished 1 " + view + " PASS 8 2\r\nok\r\nfinished 2 00000000000000c3 PASS 8 2\r\nc3\r\n")
+		l.tell("finished 2 00000000000000c3 PASS 8 4\r\nelse\r\nfinished 3 00000000000000dd PASS 8 2\r\nok\r\n") // once more, and a stranger's
+		require.Contains(t, string(l.caller.out), "c3", name)
+		require.NotContains(t, string(l.caller.out), "bad", name)
+		require.NotContains(t, string(l.caller.out), "else", name)
+		require.Equal(t, map[int32]thrift.ReplyKind{1: thrift.Answered, 2: thrift.Answered}, l.replies(), name)
+		require.Empty(t, l.srv.pool.runs, name)
+		require.NotNil(t, l.pool.session, name)
+	}
+}
+
+// An intake whose notice was spoilt is not sent again, whatever the notice said; it gets its one answer by its due time,
+// and its repeat does not run.
+func TestSpoiltNoticeOfAnIntake(t *testing.T) {
+	for _, spoilt := range []string{"finished 7 " + intake + " PASS 8 2\r\nok\r\n", "finished 1 " + intake + " PASS 8 9000\r\nok\r\n"} {
+		l := newLinked(t)
+		require.Contains(t, l.ask(intake, "lot-intake", "k1"), "spawn "+intake)
+		l.tell(spoilt)
+		require.NotContains(t, l.link("bound LOADED 100\r\n"), "spawn")
+		l.advance(l.now + 5*micro.Second)
+		require.Equal(t, map[int32]thrift.ReplyKind{1: thrift.Broken}, l.replies())
+		l.caller, l.seq = l.stage.connect("c2", 0), 0
+		require.NotContains(t, l.ask("00000000000000a2", "lot-intake", "k1"), "spawn")
+		l.tell("finished 1 " + intake + " PASS 8 2\r\nok\r\n") // it comes after all
+		require.Equal(t, map[int32]thrift.ReplyKind{1: thrift.Answered}, l.replies())
+	}
+}
+
+// Guards against a result for a run that waits for its link: the pool was never given it.
+func TestNoticeOfARunNeverSent(t *testing.T) {
+	l := newLinked(t)
+	l.broken()
+	l.ask(view, "block-view", "")
+	l.links++
+	l.pool = l.stage.connect("pool", -1)
+	l.tell("bound LOADED 100\r\nfinished 1 " + view + " PASS 8 2\r\nok\r\n")
+	require.Empty(t, l.replies())
+	require.Contains(t, l.tell("polled sync"+strconv.Itoa(l.links)+" 0 0 0 0\r\n"), "spawn "+view)
+	l.tell("finished 2 " + view + " PASS 8 2\r\nok\r\n")
+	require.Equal(t, map[int32]thrift.ReplyKind{1: thrift.Answered}, l.replies())
+}
+
+// A pool that keeps too few notices has lost some for good: the second link that begins with the gap goes on behind it,
+// and what was never told of ends by its due time.
+func TestNoticesLostForGood(t *testing.T) {
+	l := newLinked(t)
+	l.ask(view, "block-view", "")
+	l.broken()
+	l.links++
+	l.pool = l.stage.connect("pool", -1)
+	l.tell("bound LOADED 100\r\nfinished 4001 00000000000000c3 PASS 8 2\r\nc3\r\n")
+	require.Nil(t, l.pool.session)
+	require.Contains(t, l.link("bound LOADED 100\r\nfinished 4002 00000000000000c4 PASS 8 2\r\nc4\r\n"), "spawn "+view)
+	l.tell("finished 4003 " + view + " PASS 8 2\r\nok\r\n")
+	require.Equal(t, map[int32]thrift.ReplyKind{1: thrift.Answered}, l.replies())
+	require.Contains(t, strings.Join(l.logged, "\n"), "notices 1 to 4001 are lost")
+}
+
+// A remark without a meaning may take a number of the notices' own, and is told again on a new link; it may also take
+// none. Either way the link goes on, and a number that no remark accounts for still ends it.
+func TestRemarksMayTakeNumbers(t *testing.T) {
+	for _, numbers := range [][2]string{{"3", "4"}, {"1", "2"}} {
+		l := newLinked(t)
+		l.ask(view, "block-view", "")
+		l.ask("00000000000000c3", "block-view", "")
+		l.tell("chatter 1 all is well\r\nchatter 2 all is well\r\nchatter 2 once more\r\nchatter 900 too high\r\n")
+		l.tell("finished " + numbers[0] + " " + view + " PASS 8 2\r\nok\r\nfinished " + numbers[1] + " 00000000000000c3 PASS 8 2\r\nok\r\n")
+		require.Equal(t, map[int32]thrift.ReplyKind{1: thrift.Answered, 2: thrift.Answered}, l.replies())
+		require.NotNil(t, l.pool.session)
+		l.tell("finished 6 00000000000000dd PASS 8 2\r\nok\r\n")
+		require.Nil(t, l.pool.session)
+		if numbers[0] == "3" { // the remark that was missed is told again and accounts for the gap
+			l.link("bound LOADED 9\r\nchatter 5 well\r\nfinished 6 00000000000000dd PASS 8 2\r\nok\r\n")
+			require.NotNil(t, l.pool.session)
+			require.NotContains(t, strings.Join(l.logged, "\n"), "are lost")
+		}
+	}
+}
--- a/internal/edge/pool.go
+++ b/internal/edge/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"maps"
 	"slices"
 	"strconv"
@@ -14,21 +15,27 @@
 	"pewterline/internal/wire"
 )
 
+// noticesKept are the notices that the worker pool can tell again.
+const noticesKept = 4000
+
 // poolLink is the runner that hands the work to the worker pool. Runs outlive the link: after a new one is
 // bound, the notices that were missed come first, and only then is sent again what may have been lost.
 type poolLink struct {
-	s      *Server
-	conn   transport.Link // nil while there is no link
-	drop   func()         // gives up the link that is being dialled; nil while none is
-	synced bool           // the missed notices of this link have been read
-	links  int            // opened so far; names the poll that marks their end
-	acked  map[int]int    // by link: the run up to which what was sent on it is known to have arrived
-	polled []int          // for each poll without an answer on this link: the last run sent before it
-	doubts []*poolRun     // runs that nobody knows of, by when they are given up
-	notice uint64
-	runs   map[string]*poolRun
-	order  int
-	out    []byte
+	s       *Server
+	conn    transport.Link // nil while there is no link
+	drop    func()         // gives up the link that is being dialled; nil while none is
+	synced  bool           // the missed notices of this link have been read
+	links   int            // opened so far; names the poll that marks their end
+	acked   map[int]int    // by link: the run up to which what was sent on it is known to have arrived
+	polled  []int          // for each poll without an answer on this link: the last run sent before it
+	doubts  []*poolRun     // runs that nobody knows of, by when they are given up
+	notice  uint64
+	begun   bool   // a notice that is new has been read on this link
+	gap     uint64 // the number of the notice that came out of order last; 0: none has
+	remarks uint64 // read on this link since the last notice, each under the next number
+	runs    map[string]*poolRun
+	order   int
+	out     []byte
 }
 
 // poolRun is a run that has not ended.
@@ -58,7 +65,7 @@
 	if p.conn != nil {
 		p.conn.Close() // a new configuration has replaced it
 	}
-	p.conn, p.synced, p.drop, p.polled = c, false, nil, nil
+	p.conn, p.synced, p.drop, p.polled, p.begun, p.remarks = c, false, nil, nil, false, 0
 	p.links++
 	seen := p.notice
 	if planted.Bug(planted.NoticesPast) && seen > 0 {
@@ -137,7 +144,9 @@
 			return n, err
 		}
 		n += size
-		p.take(m)
+		if err := p.take(m); err != nil {
+			return n, err
+		}
 	}
 }
 
@@ -168,7 +177,9 @@
 	return append([]byte(nil), result...)
 }
 
-func (p *poolLink) take(m pool.Message) {
+// take obeys a message. An error says that the link's stream can no longer be trusted: the next link is bound with the
+// last notice that came in order, so that all after it come again.
+func (p *poolLink) take(m pool.Message) error {
 	switch m.Kind {
 	case pool.Bound:
 		p.s.core.Begin(p.s.loop.Now(), micro.Time(m.MS*1000), !m.Loaded)
@@ -180,14 +191,22 @@
 		}
 	case pool.Finished:
 		if m.Notice <= p.notice {
-			return // read already on the link before
+			return nil // read already on the link before
+		}
+		if err := p.inOrder(m.Notice); err != nil {
+			return err
 		}
 		p.notice = m.Notice
-		if r := p.runs[m.ID]; r != nil {
+		// Guards against a result for what the pool was never given: no run made it.
+		if r := p.runs[m.ID]; r != nil && r.link > 0 {
 			p.acked[r.link] = max(p.acked[r.link], r.order) // commands are read in the order they were sent
 			delete(p.runs, m.ID)
 			p.s.core.Finished(m.ID, poolEnds[m.End], p.keep(m.Result))
 		}
+	case pool.Chatter:
+		if m.Notice == p.notice+p.remarks+1 {
+			p.remarks++
+		}
 	case pool.Polled:
 		if m.Tag == "g" && len(p.polled) > 0 {
 			p.acked[p.links], p.polled = max(p.acked[p.links], p.polled[0]), p.polled[1:]
@@ -206,6 +225,26 @@
 			p.s.core.Finished(m.ID, routing.Rejected, nil)
 		}
 	}
+	return nil
+}
+
+// inOrder checks the number of a notice that is new. Guards the runs against a number that is spoilt or missing: taken
+// as it came, one too high would have all that follow pass for read, and none of their runs would ever end. Remarks
+// without a meaning may take numbers of their own. The pool keeps a bounded number of notices, so that some may be
+// lost for good: where the next link begins with a gap as well, about where the last one was found, those between are.
+func (p *poolLink) inOrder(n uint64) error {
+	first, most := !p.begun, p.notice+p.remarks+1
+	p.begun, p.remarks = true, 0
+	switch {
+	case n <= most:
+	case first && p.gap > 0 && n >= p.gap && n-p.gap < noticesKept:
+		p.s.logf("pool: notices %d to %d are lost", most, n-1)
+	default:
+		p.gap = n
+		return fmt.Errorf("pool: notice %d came after %d", n, most-1)
+	}
+	p.gap = 0
+	return nil
 }
 
 // resync sends what has no notice yet, oldest first. Guards against both faults of a broken link: a command
--- a/internal/protocol/pool/pool.go
+++ b/internal/protocol/pool/pool.go
@@ -10,7 +10,7 @@
 
 const (
 	maxLine   = 1 << 10
-	maxResult = 64 << 10 // a result holds up to 4 KiB; what is far beyond is a broken length
+	maxResult = 4 << 10 // the protocol's; guards against a broken length, which has all that follows wait for its end
 )
 
 // ErrLine is wrapped by every error of Parse: the link's stream can no longer be trusted.
--- a/internal/standin/pool.go
+++ b/internal/standin/pool.go
@@ -158,21 +158,27 @@
 // notice tells the end of a run.
 func (p *Pool) notice(r *work, end pool.End, result []byte) {
 	r.over = true
-	n := p.first + uint64(len(p.notices))
-	p.notices = append(p.notices, pool.AppendFinished(nil, n, r.id, end, int((p.st.W.Now()-r.started)/1000), result))
+	if p.rng.IntN(50) == 0 { // a remark takes a number of its own, and is told again like the others
+		p.tell(func(n uint64) []byte { return fmt.Appendf(nil, "chatter %d all is well\r\n", n) })
+	}
+	p.tell(func(n uint64) []byte {
+		return pool.AppendFinished(nil, n, r.id, end, int((p.st.W.Now()-r.started)/1000), result)
+	})
+}
+
+// tell keeps a line under the next number, and sends it where there is a link.
+func (p *Pool) tell(of func(n uint64) []byte) {
+	line := of(p.first + uint64(len(p.notices)))
+	p.notices = append(p.notices, line)
 	if len(p.notices) > noticesKept {
 		p.notices, p.first = p.notices[1:], p.first+1
 	}
 	if p.link == nil || !p.link.bound {
 		return
 	}
-	line := p.notices[len(p.notices)-1]
 	if p.doubled > p.st.W.Now() {
 		line = append(slices.Clone(line), line...)
 	}
-	if p.rng.IntN(50) == 0 {
-		p.link.e.Write([]byte(fmt.Sprintf("chatter %d all is well\r\n", n)))
-	}
 	p.link.e.Write(line)
 }
 
