--- a/cmd/pewterline/build_test.go
+++ b/cmd/pewterline/build_test.go
@@ -90,11 +90,31 @@
 	if err == nil { // not every kernel tells
 		require.Empty(t, string(children))
 	}
+	t.Run("what is off does not run", func(t *testing.T) { offMeansOff(t, program, path, binds) })
 	require.NoError(t, cmd.Process.Signal(syscall.SIGTERM))
 	require.NoError(t, <-ended)
 	t.Run("told to leave while it starts", func(t *testing.T) { leaveAtTheStart(t, program, path) })
 }
 
+// offMeansOff guards the platform's limits against what ships as off: of a server at work, whose goroutines SIGQUIT has the
+// runtime print, none is of the store, its databases, the edge's runner or the exchange, nor was one started by them.
+func offMeansOff(t *testing.T, program, config string, binds chan string) {
+	cmd := exec.Command(program)
+	cmd.Dir = "../.."
+	cmd.Env = append(os.Environ(), "RELAY_CONFIG="+config, "RELAY_LISTEN=127.0.0.1:0", "RELAY_AJP=", "RELAY_STORE=", "RELAY_FLEET=", "GOTRACEBACK=all")
+	var log bytes.Buffer
+	cmd.Stderr = &log
+	require.NoError(t, cmd.Start())
+	defer func() { _ = cmd.Process.Kill() }()
+	require.Equal(t, "bind 0\r\n", <-binds)
+	require.NoError(t, cmd.Process.Signal(syscall.SIGQUIT))
+	require.Error(t, cmd.Wait(), "it ends by the signal")
+	require.Contains(t, log.String(), "pewterline/internal/transport/sockets", "the loop is among them")
+	for _, off := range []string{"internal/store", "database/sql", "sqlite", "pgx", "fleetRunner", "exchange"} {
+		require.NotContains(t, log.String(), off)
+	}
+}
+
 // leaveAtTheStart guards against a release that overtakes itself: the notice to leave finds a program that still reads its
 // configuration, here from a pipe that the test holds. It starts, drains and ends as told, and is not killed.
 func leaveAtTheStart(t *testing.T, program, config string) {
