Name tests for a faulty file on reload and a late pool, and tell the commands

Two hard cases were covered without a test of their own name: the late pool by one of TestPlay's exchanges, and of a faulty file on SIGHUP nothing held that the line names its key. TestPoolThatComesUpLate and TestFaultyFileIsNamedOnReload do. No change of the program.

--- a/cmd/pewterline/main_test.go
+++ b/cmd/pewterline/main_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/json"
 	"fmt"
+	"log"
 	"maps"
 	"net"
 	"os"
@@ -84,6 +86,24 @@
 	require.NoError(t, <-done)
 }
 
+// Guards a reload against a faulty file: the line names the key and says that nothing has changed, and neither the loop nor
+// the server is touched, of which there is none here.
+func TestFaultyFileIsNamedOnReload(t *testing.T) {
+	text, err := os.ReadFile("../../internal/config/testdata/config.json")
+	require.NoError(t, err)
+	path := filepath.Join(t.TempDir(), "config.json")
+	t.Setenv("RELAY_CONFIG", path)
+	t.Setenv("RELAY_AJP", "../../deploy/ajp.toml")
+	t.Setenv("RELAY_STORE", "../../deploy/store.toml")
+	require.NoError(t, os.WriteFile(path, replaceKeys(t, text, map[string]any{"pool": "nowhere"}), 0o600))
+	var lines bytes.Buffer
+	log.SetOutput(&lines)
+	defer log.SetOutput(os.Stderr)
+	handle(syscall.SIGHUP, nil, nil)
+	require.Contains(t, lines.String(), "SIGHUP: config: pool")
+	require.Contains(t, lines.String(), "nothing has changed")
+}
+
 func replaceKeys(t *testing.T, text []byte, with map[string]any) []byte {
 	var all map[string]any
 	require.NoError(t, json.Unmarshal(text, &all))
--- a/internal/edge/link_test.go
+++ b/internal/edge/link_test.go
@@ -255,3 +255,24 @@
 		}
 	}
 }
+
+// A worker pool that comes up long after the link to it: nothing is sent before it is bound, what was asked for meanwhile
+// runs then, once, and what became due in between has had its answer and is not run.
+func TestPoolThatComesUpLate(t *testing.T) {
+	l := &linked{stage: newStage(t, config.AJP{})}
+	l.caller = l.stage.connect("c1", 0)
+	l.links++
+	l.pool = l.stage.connect("pool", -1)
+	l.turn()
+	require.NotContains(t, l.ask(view, "block-view", ""), "spawn")
+	l.advance(l.now + 6*micro.Second)
+	require.Len(t, l.replies(), 1, "it has its answer, whatever the pool does")
+	l.caller, l.seq = l.stage.connect("c2", 0), 0
+	require.NotContains(t, l.ask(intake, "lot-intake", "k1"), "spawn")
+	require.Empty(t, l.tell("bound LOADED 0\r\n")[len("poll sync1\r\n"):])
+	sent := l.tell("polled sync1 0 0 0 0\r\n")
+	require.Equal(t, 1, strings.Count(sent, "spawn "+intake))
+	require.NotContains(t, sent, view)
+	l.tell("finished 1 " + intake + " PASS 8 2\r\nok\r\n")
+	require.Equal(t, map[int32]thrift.ReplyKind{1: thrift.Answered}, l.replies())
+}
