Answer operators at admin: ready, true counters, out of service and in again

Cause: nothing listened at admin.

Tests: admin, edge (TestOutOfServiceAndBack, TestCounters, TestOperatorsHavePlacesOfTheirOwn).

--- a/cmd/pewterline/main.go
+++ b/cmd/pewterline/main.go
@@ -61,16 +61,14 @@
 			return err
 		}
 	}
-	opts := sockets.Options{Listen: []string{cfg.Listen}, Datagrams: cfg.Control, Clock: clock, Options: transport.Options{
+	opts := sockets.Options{Listen: []string{cfg.Listen, cfg.AJP.Listen, "", cfg.Admin}, Datagrams: cfg.Control, Clock: clock, Options: transport.Options{
 		// The limit on memory counts what the kernel holds of the sockets too; this leaves it as much again.
 		MaxConns: cfg.Sockets - spareSockets, Buffers: int(cfg.Memory / 8), Logf: logf,
+		Apart: map[int]int{edge.AdminListener: edge.AdminConns},
 	}}
 	if cfg.AJP.Runner != "" {
 		opts.MaxConns -= cfg.AJP.Connections
 	}
-	if cfg.AJP.Listen != "" {
-		opts.Listen = append(opts.Listen, cfg.AJP.Listen)
-	}
 	loop, err := sockets.Start(opts, srv, func(l *transport.Loop) { srv.Attach(l) })
 	if err != nil {
 		return err
@@ -91,19 +89,26 @@
 	return loop.Wait()
 }
 
+// executor is the loop, as signals need it.
+type executor interface {
+	Execute(func()) error
+	Now() micro.Time
+}
+
 // handle obeys a signal: SIGHUP has the configuration read anew, the others are the notice to drain.
-func handle(sig os.Signal, loop *sockets.Loop, srv *edge.Server) {
+func handle(sig os.Signal, loop executor, srv *edge.Server) {
 	do := func() { srv.Drain(loop.Now()) }
 	if sig == syscall.SIGHUP {
 		// Read and checked as a whole before anything changes: a faulty file must not harm a server that serves.
 		cfg, err := config.Load(os.Getenv)
 		if err != nil {
 			log.Printf("SIGHUP: %v; nothing has changed", err)
-			return
-		}
-		do = func() {
-			if err := srv.Reload(cfg); err != nil {
-				log.Printf("SIGHUP: %v; nothing has changed", err)
+			do = srv.FileRefused
+		} else {
+			do = func() {
+				if err := srv.Reload(cfg); err != nil {
+					log.Printf("SIGHUP: %v; nothing has changed", err)
+				}
 			}
 		}
 	}
--- a/cmd/pewterline/main_test.go
+++ b/cmd/pewterline/main_test.go
@@ -14,6 +14,9 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"pewterline/internal/edge"
+	"pewterline/internal/micro"
 )
 
 // standIn is a worker pool's address: it tells of each bind that it reads, and answers it.
@@ -86,8 +89,17 @@
 	require.NoError(t, <-done)
 }
 
-// Guards a reload against a faulty file: the line names the key and says that nothing has changed, and neither the loop nor
-// the server is touched, of which there is none here.
+// atOnce is a loop that runs what it is given.
+type atOnce struct{}
+
+func (atOnce) Now() micro.Time { return 0 }
+func (atOnce) Execute(f func()) error {
+	f()
+	return nil
+}
+
+// Guards a reload against a faulty file: the line names the key and says that nothing has changed, and the server counts it
+// and does nothing else.
 func TestFaultyFileIsNamedOnReload(t *testing.T) {
 	text, err := os.ReadFile("../../internal/config/testdata/config.json")
 	require.NoError(t, err)
@@ -99,7 +111,7 @@
 	var lines bytes.Buffer
 	log.SetOutput(&lines)
 	defer log.SetOutput(os.Stderr)
-	handle(syscall.SIGHUP, nil, nil)
+	handle(syscall.SIGHUP, atOnce{}, &edge.Server{})
 	require.Contains(t, lines.String(), "SIGHUP: config: pool")
 	require.Contains(t, lines.String(), "nothing has changed")
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -27,6 +27,7 @@
 	Listen   string
 	Pool     string // empty only where AJP.Runner is set
 	Control  string // empty: no reports
+	Admin    string // where operators call; empty: nowhere
 	Stop     micro.Time
 	Memory   int64 // bytes
 	Sockets  int
@@ -97,6 +98,7 @@
 	Listen  string          `json:"listen"`
 	Pool    string          `json:"pool"`
 	Control string          `json:"control"`
+	Admin   string          `json:"admin"`
 	Seed    string          `json:"seed"`
 	StopMS  *float64        `json:"stop_ms"`
 	Limits  limits          `json:"limits"`
@@ -130,7 +132,7 @@
 	if err != nil {
 		return Config{}, err
 	}
-	return parse(text, ajp, store, fleetText, getenv("RELAY_NAME"), getenv("RELAY_LISTEN"))
+	return parse(text, ajp, store, fleetText, getenv)
 }
 
 // Problem is what is wrong with one file.
@@ -166,7 +168,7 @@
 	case path == "":
 		err = errors.New("config: RELAY_CONFIG: not set; it names the JSON file")
 	case err == nil: // with the faulty ones of the others left out
-		_, err = parse(text, texts["RELAY_AJP"], texts["RELAY_STORE"], texts["RELAY_FLEET"], getenv("RELAY_NAME"), getenv("RELAY_LISTEN"))
+		_, err = parse(text, texts["RELAY_AJP"], texts["RELAY_STORE"], texts["RELAY_FLEET"], getenv)
 	default:
 		err = fmt.Errorf("config: RELAY_CONFIG: %w", err)
 	}
@@ -189,8 +191,8 @@
 	return text, nil
 }
 
-// parse checks the files; the name and the address of the environment win over the file's.
-func parse(text, ajpText, storeText, fleetText []byte, name, listen string) (Config, error) {
+// parse checks the files; the name and the addresses of the environment win over the file's.
+func parse(text, ajpText, storeText, fleetText []byte, getenv func(string) string) (Config, error) {
 	var f file
 	if err := json.Unmarshal(text, &f); err != nil {
 		var wrong *json.UnmarshalTypeError
@@ -200,8 +202,9 @@
 		return Config{}, fmt.Errorf("config: RELAY_CONFIG: %w", err)
 	}
 	c := Config{
-		Name: orString(name, f.Name), Listen: orString(listen, f.Listen), Pool: f.Pool, Control: f.Control,
-		Stop: defaultStopMS * micro.Millisecond, Memory: defaultMemoryMB << 20, Sockets: defaultSockets,
+		Name: orString(getenv("RELAY_NAME"), f.Name), Listen: orString(getenv("RELAY_LISTEN"), f.Listen), Pool: f.Pool, Control: f.Control,
+		Admin: orString(getenv("RELAY_ADMIN"), f.Admin),
+		Stop:  defaultStopMS * micro.Millisecond, Memory: defaultMemoryMB << 20, Sockets: defaultSockets,
 	}
 	var err error
 	if c.AJP, err = parseAJP(ajpText); err != nil {
@@ -232,6 +235,11 @@
 			return c, err
 		}
 	}
+	if c.Admin != "" {
+		if err := address("admin", c.Admin); err != nil {
+			return c, err
+		}
+	}
 	if f.StopMS != nil {
 		if !(*f.StopMS > 0 && *f.StopMS <= 3600e3) {
 			return c, fmt.Errorf("config: stop_ms: %v is not within 0 to an hour", *f.StopMS)
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -16,7 +16,7 @@
  "extra": {"cores": 4, "gauges": ["cpu_busy"]}}}`
 
 func TestGood(t *testing.T) {
-	c, err := parse([]byte(good), []byte("[front]\nlisten = \"127.0.0.1:8009\"\n"), nil, nil, "", "127.0.0.2:4100")
+	c, err := parse([]byte(good), []byte("[front]\nlisten = \"127.0.0.1:8009\"\n"), nil, nil, env("RELAY_LISTEN", "127.0.0.2:4100"))
 	require.NoError(t, err)
 	require.Equal(t, "n3", c.Name)
 	require.Equal(t, "127.0.0.2:4100", c.Listen, "the environment wins")
@@ -53,14 +53,14 @@
 		{"", "", "[runner]\npath = \"run\"", "runner.path:"},
 		{"", "", "front = [", "ajp.toml:"},
 	} {
-		_, err := parse([]byte(strings.Replace(good, c.old, c.new, 1)), []byte(c.ajp), nil, nil, "", "")
+		_, err := parse([]byte(strings.Replace(good, c.old, c.new, 1)), []byte(c.ajp), nil, nil, env("", ""))
 		require.ErrorContains(t, err, c.want)
 	}
 	for text, want := range map[string]string{
 		"driver = \"oracle\"": "driver:", "driver = \"sqlite\"": "dsn:", "path = \"x\"": "path: unknown",
 		"driver = \"postgres\"\ndsn = \"x\"\ntimeout_ms = 0": "timeout_ms:",
 	} {
-		_, err := parse([]byte(good), nil, []byte(text), nil, "", "")
+		_, err := parse([]byte(good), nil, []byte(text), nil, env("", ""))
 		require.ErrorContains(t, err, "store.toml: "+want)
 	}
 	_, err := Load(func(string) string { return "" })
@@ -79,7 +79,7 @@
 
 // Guards the edge's file: what is faulty is named, and what is right is read.
 func TestFleetFile(t *testing.T) {
-	c, err := parse([]byte(good), nil, nil, []byte("[edge]\ntries = 2\n[[server]]\nname = \"n1\"\naddress = \"127.0.0.1:4101\"\n"), "", "")
+	c, err := parse([]byte(good), nil, nil, []byte("[edge]\ntries = 2\n[[server]]\nname = \"n1\"\naddress = \"127.0.0.1:4101\"\n"), env("", ""))
 	require.NoError(t, err)
 	require.Equal(t, []Member{{"n1", "127.0.0.1:4101"}}, c.Fleet.Members)
 	require.Equal(t, 2, c.Fleet.Attempts.Tries)
@@ -92,12 +92,37 @@
 		"[edge]\ntries = 99":       "tries",
 		"[edge]\neject_most = 1.5": "eject_most",
 	} {
-		_, err := parse([]byte(good), nil, nil, []byte(text), "", "")
+		_, err := parse([]byte(good), nil, nil, []byte(text), env("", ""))
 		require.ErrorContains(t, err, want, text)
 	}
 	text, err := os.ReadFile("../../deploy/fleet.toml")
 	require.NoError(t, err)
-	c, err = parse([]byte(good), nil, nil, text, "", "")
+	c, err = parse([]byte(good), nil, nil, text, env("", ""))
 	require.NoError(t, err)
 	require.Empty(t, c.Fleet.Members, "it ships off")
 }
+
+func env(key, value string) func(string) string {
+	return func(k string) string {
+		if k == key {
+			return value
+		}
+		return ""
+	}
+}
+
+// The operators' address is the environment's before the file's, is checked, and may be absent.
+func TestAdmin(t *testing.T) {
+	with := strings.Replace(good, "{", `{"admin": "127.0.0.1:7000", `, 1)
+	c, err := parse([]byte(with), nil, nil, nil, env("", ""))
+	require.NoError(t, err)
+	require.Equal(t, "127.0.0.1:7000", c.Admin)
+	c, err = parse([]byte(with), nil, nil, nil, env("RELAY_ADMIN", "127.0.0.1:7001"))
+	require.NoError(t, err)
+	require.Equal(t, "127.0.0.1:7001", c.Admin)
+	c, err = parse([]byte(good), nil, nil, nil, env("", ""))
+	require.NoError(t, err)
+	require.Empty(t, c.Admin)
+	_, err = parse([]byte(good), nil, nil, nil, env("RELAY_ADMIN", "here"))
+	require.ErrorContains(t, err, `admin: "here"`)
+}
--- /dev/null
+++ b/internal/edge/admin_test.go
@@ -0,0 +1,164 @@
+package edge
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"pewterline/internal/config"
+	"pewterline/internal/micro"
+	"pewterline/internal/transport"
+	"pewterline/internal/transport/sockets"
+)
+
+var operators int
+
+// call has an operator call; it returns the status line and the body.
+func (s *stage) call(line string) (string, string) {
+	operators++
+	l := s.connect(fmt.Sprintf("op%d", operators), AdminListener)
+	s.deliver(l, []byte(line+" HTTP/1.1\r\nHost: n0\r\n\r\n"))
+	require.True(s.t, l.closed, "one call on a connection")
+	head, body, _ := strings.Cut(string(l.out), "\r\n\r\n")
+	status, _, _ := strings.Cut(head, "\r\n")
+	if strings.Contains(status, "405") {
+		require.Contains(s.t, head, "Allow: ")
+	}
+	s.turn()
+	return status, body
+}
+
+const probeCall = "\x00\x00\x00\x16\x80\x01\x00\x01\x00\x00\x00\x05probe\x00\x00\x00\x01\x02\x00\x01\x00\x00"
+
+// probed is the answer to a health check.
+func (s *stage) probed() bool {
+	operators++
+	l := s.connect(fmt.Sprintf("check%d", operators), 0)
+	s.deliver(l, []byte(probeCall))
+	l.closed = true
+	s.turn()
+	bad := strings.Contains(string(l.out), "\x02\x00\x03\x00") // field 3, a bool, false
+	require.True(s.t, bad != strings.Contains(string(l.out), "\x02\x00\x03\x01"))
+	return !bad
+}
+
+// Guards the drain by operators: health turns bad at the call, comes back with the other, and neither is hurt by being
+// repeated or by the notice to leave, after which there is no way back in.
+func TestOutOfServiceAndBack(t *testing.T) {
+	l := newLinked(t)
+	l.control = "control"
+	for _, c := range []struct {
+		call, status string
+		good         bool
+	}{
+		{"PUT /control/in-service", "200 OK", true}, {"PUT /control/out-of-service", "200 OK", false},
+		{"PUT /control/out-of-service", "200 OK", false}, {"GET /control/ready", "200 OK", false},
+		{"PUT /control/in-service", "200 OK", true}, {"PUT /control/out-of-service", "200 OK", false},
+	} {
+		status, _ := l.call(c.call)
+		require.Equal(t, "HTTP/1.1 "+c.status, status, c.call)
+		require.Equal(t, c.good, l.probed(), c.call)
+		require.Equal(t, map[bool]string{true: "lease n0 Ready", false: "lease n0 NotReady"}[c.good], strings.TrimSpace(l.report))
+	}
+	// What arrives is answered as usual.
+	require.Contains(t, l.ask("00000000000000a1", "block-view", ""), "spawn 00000000000000a1")
+	l.tell("finished 1 00000000000000a1 PASS 5 2\r\nok\r\n")
+	require.Contains(t, string(l.caller.out), "ok")
+	l.srv.Drain(l.now)
+	l.turn()
+	status, body := l.call("PUT /control/in-service")
+	require.Equal(t, "HTTP/1.1 409 Conflict", status)
+	require.Contains(t, body, "leaving")
+	status, _ = l.call("GET /control/ready")
+	require.Equal(t, "HTTP/1.1 503 Service Unavailable", status)
+	require.False(t, l.probed())
+}
+
+func TestWrongCalls(t *testing.T) {
+	s := newStage(t, config.AJP{})
+	for line, want := range map[string]string{"GET /control/rdy": "404 Not Found", "POST /control/ready": "405 Method Not Allowed",
+		"GET /control/in-service": "405 Method Not Allowed", "HEAD /control/ready": "200 OK"} {
+		status, _ := s.call(line)
+		require.Equal(t, "HTTP/1.1 "+want, status, line)
+	}
+}
+
+type counted struct {
+	Passed     map[string]int `json:"passed"`
+	Dropped    map[string]int `json:"dropped"`
+	BadGateway map[string]int `json:"bad_gateway"`
+	Tries      int            `json:"upstream_tries"`
+	InProgress int            `json:"in_progress"`
+	Loads      int            `json:"loads"`
+	LoadErrors int            `json:"load_errors"`
+}
+
+func (s *stage) counters() (c counted) {
+	_, body := s.call("GET /control/counters")
+	require.NoError(s.t, json.Unmarshal([]byte(body), &c))
+	return c
+}
+
+// Guards the figures: each request counts once, where it ends, by its class; whoever left counts nowhere.
+func TestCounters(t *testing.T) {
+	l := newLinked(t)
+	l.ask("00000000000000a1", "block-view", "")
+	l.ask("00000000000000a2", "lot-intake", "k1")
+	require.Equal(t, 2, l.counters().InProgress)
+	l.tell("finished 1 00000000000000a1 PASS 5 2\r\nok\r\nfinished 2 00000000000000a2 FAIL 5 0\r\n\r\n")
+	l.ask("00000000000000a3", "lot-intake", "k1") // joins what failed
+	l.ask("00000000000000a4", "block-view", "")
+	l.caller.closed = true // it leaves
+	l.turn()
+	l.tell("finished 3 00000000000000a4 PASS 5 2\r\nok\r\n")
+	require.NoError(t, l.srv.Reload(l.srv.cfg))
+	l.srv.FileRefused()
+	require.Equal(t, counted{
+		Passed: map[string]int{"block-view": 1, "lot-update": 0, "lot-intake": 0}, Dropped: map[string]int{"block-view": 0, "lot-update": 0, "lot-intake": 0},
+		BadGateway: map[string]int{"block-view": 0, "lot-update": 0, "lot-intake": 2}, Tries: 3, Loads: 1, LoadErrors: 1,
+	}, l.counters())
+}
+
+// Guards both sides of the door: silent and half callers of the operators' listener cost proxies no place, the oldest of
+// them makes room for whoever calls, and a hall full of proxies at work does not shut the operators out.
+func TestOperatorsHavePlacesOfTheirOwn(t *testing.T) {
+	clock := micro.NewClock()
+	srv, err := New(testConfig(t, "127.0.0.1:1"), clock, t.Logf)
+	require.NoError(t, err)
+	loop, err := sockets.Start(sockets.Options{Options: transport.Options{MaxConns: 2, Logf: t.Logf, Apart: map[int]int{AdminListener: 3}},
+		Listen: []string{"127.0.0.1:0", "", "", "127.0.0.2:0"}, Clock: clock}, srv, func(l *transport.Loop) { srv.Attach(l) })
+	require.NoError(t, err)
+	defer func() {
+		loop.Stop()
+		require.NoError(t, loop.Wait())
+	}()
+	dial := func(i int, text string) net.Conn {
+		c, err := net.Dial("tcp", loop.Addr(i).String())
+		require.NoError(t, err)
+		t.Cleanup(func() { c.Close() })
+		_, err = c.Write([]byte(text))
+		require.NoError(t, err)
+		require.NoError(t, c.SetReadDeadline(time.Now().Add(10*time.Second)))
+		return c
+	}
+	answered := func(c net.Conn) bool {
+		n, _ := c.Read(make([]byte, 100))
+		return n > 0
+	}
+	one, two := dial(0, probeCall), dial(0, probeCall)
+	require.True(t, answered(one) && answered(two))
+	for range 9 {
+		dial(AdminListener, "GET /control/re")
+	}
+	require.True(t, answered(dial(AdminListener, "GET /control/ready HTTP/1.1\r\nHost: a\r\n\r\n")))
+	for _, c := range []net.Conn{one, two} {
+		_, err := c.Write([]byte(probeCall))
+		require.NoError(t, err)
+		require.True(t, answered(c), "a proxy lost its place")
+	}
+}
--- a/internal/edge/ajp.go
+++ b/internal/edge/ajp.go
@@ -300,7 +300,7 @@
 func (a *ajpSession) health() {
 	if a.req.Length > 0 || a.req.Chunked() {
 		a.refuse(400, "a health check has no body")
-	} else if a.s.core.Health() {
+	} else if a.s.healthy() {
 		a.respond(200, nil, []byte("good\n"), true)
 	} else {
 		a.respond(503, nil, []byte("not good\n"), true)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -56,7 +56,9 @@
 	servers  *fleetRunner
 	fronts   bag[*thriftSession]
 	offices  bag[*ajpSession]
-	requests int // taken by the core so far
+	out      bool                         // of service, by the operators' word
+	files    struct{ taken, refused int } // at SIGHUP
+	requests int                          // taken by the core so far
 
 	nextReport, nextSweep micro.Time
 	reported              bool // the health last reported
@@ -116,6 +118,7 @@
 func (s *Server) Reload(next config.Config) error {
 	if next.Control != s.cfg.Control {
 		if err := s.loop.Datagrams(next.Control); err != nil {
+			s.files.refused++
 			return fmt.Errorf("control: %w", err)
 		}
 		s.cfg.Control, s.nextReport = next.Control, 0 // the new address hears of us at once
@@ -130,11 +133,12 @@
 		s.logf("edge: configuration read anew: %d log servers", len(next.Fleet.Members))
 	}
 	s.cfg.Stop = next.Stop
+	s.files.taken++
 	for _, k := range []struct {
 		key     string
 		changed bool
 	}{
-		{"name", next.Name != s.cfg.Name}, {"listen", next.Listen != s.cfg.Listen},
+		{"name", next.Name != s.cfg.Name}, {"listen", next.Listen != s.cfg.Listen}, {"admin", next.Admin != s.cfg.Admin},
 		{"fleet.toml: server", (len(next.Fleet.Members) > 0) != (s.servers != nil)}, {"limits.memory_mb", next.Memory != s.cfg.Memory}, {"limits.sockets", next.Sockets != s.cfg.Sockets},
 	} {
 		if k.changed {
@@ -151,6 +155,8 @@
 	switch {
 	case listener == 1:
 		return s.acceptAJP(c)
+	case listener == AdminListener:
+		return &adminSession{s: s, conn: c}
 	case listener == exchangeListener && s.servers != nil && s.servers.exchange != nil:
 		return s.acceptExchange(c)
 	}
@@ -163,7 +169,7 @@
 		return micro.Never
 	}
 	s.core.Step(now)
-	if now >= s.nextReport || s.core.Health() != s.reported {
+	if now >= s.nextReport || s.healthy() != s.reported {
 		s.report(now)
 	}
 	if now >= s.nextSweep {
@@ -190,7 +196,7 @@
 }
 
 func (s *Server) report(now micro.Time) {
-	s.reported, s.nextReport = s.core.Health(), now+reportEvery
+	s.reported, s.nextReport = s.healthy(), now+reportEvery
 	s.loop.Send(lease.Append(nil, s.cfg.Name, s.reported))
 }
 
@@ -221,8 +227,11 @@
 // submit hands a request to the core.
 func (s *Server) submit(r routing.Request) (control.ID, error) {
 	id, err := s.core.Submit(s.loop.Now(), r)
-	if err == nil {
+	switch {
+	case err == nil:
 		s.requests++
+	case r.Class >= 0 && r.Class < len(s.cfg.Settings.Classes):
+		s.core.Malformed(r.Class)
 	}
 	return id, err
 }
--- a/internal/edge/thrift.go
+++ b/internal/edge/thrift.go
@@ -141,7 +141,7 @@
 		}
 	case thrift.Probe:
 		t.valid()
-		t.write(thrift.AppendAnswer(t.out[:0], m.Name, m.Seq, nil, t.s.sayField(nil), t.s.core.Health()))
+		t.write(thrift.AppendAnswer(t.out[:0], m.Name, m.Seq, nil, t.s.sayField(nil), t.s.healthy()))
 	default:
 		t.except(m, thrift.UnknownMethod, errUnasked)
 	}
--- a/internal/lab/tables_test.go
+++ b/internal/lab/tables_test.go
@@ -116,7 +116,7 @@
 		}
 	}
 	for _, want := range []string{"control.Controller.keys", "control.Controller.live", "control.Controller.heard", "control.class.lat",
-		"routing.keyTable.byName", "routing.keyTable.byID", "routing.Core.wakes", "edge.poolLink.runs", "transport.Loop.conns", "transport.Conn.buf"} {
+		"routing.keyTable.byName", "routing.keyTable.byID", "routing.Core.wakes", "edge.poolLink.runs", "transport.room.conns", "transport.Conn.buf"} {
 		require.Contains(t, strings.Join(counted, " "), want)
 	}
 }
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -126,6 +126,7 @@
 	ready   []*request // repeats of restored intakes, to be answered in the next step
 	wakes   []wake
 	gauges  control.Gauges
+	figures []Figures // by class
 	drained bool
 	drainAt micro.Time
 
@@ -153,7 +154,8 @@
 	return &Core{
 		settings: s, runner: runner, logf: logf, good: true,
 		live: map[control.ID]*request{}, runs: map[string]*request{}, keys: newKeyTable(),
-		gauges: control.Gauges{Busy: -1, Runnable: -1, Memory: -1, Connections: -1},
+		gauges:  control.Gauges{Busy: -1, Runnable: -1, Memory: -1, Connections: -1},
+		figures: make([]Figures, len(s.Classes)),
 	}, nil
 }
 
@@ -365,6 +367,7 @@
 // start hands a try to the runner. Its end is of use as long as a repeat could come for it.
 func (c *Core) start(r *request) {
 	k := c.settings.Classes[r.Class]
+	c.figures[r.Class].Tries++
 	c.runner.Start(Run{ID: r.RunID, Class: k.Name, Body: r.Body, Once: r.key != nil,
 		Due: r.At + micro.Of(max(k.Deadline, k.Window)), Request: &r.Request})
 }
@@ -544,6 +547,7 @@
 		return
 	}
 	c.settle(r)
+	c.count(r.Class, a.Status)
 	r.Reply.Reply(a)
 }
 
--- a/internal/transport/sockets/sockets.go
+++ b/internal/transport/sockets/sockets.go
@@ -34,7 +34,7 @@
 // Options say what a Loop serves.
 type Options struct {
 	transport.Options
-	Listen    []string // addresses, in the order of Handler.Accept's index
+	Listen    []string // addresses, in the order of Handler.Accept's index; an empty one has no listener
 	Datagrams string   // the peer of Send; empty: none
 	Clock     Clock
 }
@@ -74,9 +74,11 @@
 	if err := d.Datagrams(opts.Datagrams); err != nil {
 		return nil, err
 	}
-	addrs := make([]string, len(opts.Listen))
-	for i, a := range opts.Listen {
-		addrs[i] = "tcp://" + a
+	var addrs []string
+	for _, a := range opts.Listen {
+		if a != "" {
+			addrs = append(addrs, "tcp://"+a)
+		}
 	}
 	go func() {
 		// SO_REUSEPORT makes gnet accept on the loop that serves; without it, a second loop only accepts.
@@ -166,7 +168,11 @@
 func (d *driver) OnBoot(e gnet.Engine) gnet.Action {
 	d.engine = e
 	for _, a := range d.opts.Listen {
-		d.addrs = append(d.addrs, boundAddr(e, a))
+		var bound *net.TCPAddr
+		if a != "" {
+			bound = boundAddr(e, a)
+		}
+		d.addrs = append(d.addrs, bound)
 	}
 	return gnet.None
 }
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -96,8 +96,11 @@
 // Options say what a Loop guards.
 type Options struct {
 	MaxConns int // accepted connections beyond this must be made room for
-	Buffers  int // bytes that all connections together may have waiting; 0: no bound
-	Logf     func(format string, args ...any)
+	// Apart are the most connections of the listeners, by their index, that have places of their own: they take none of
+	// MaxConns, and MaxConns none of theirs.
+	Apart   map[int]int
+	Buffers int // bytes that all connections together may have waiting; 0: no bound
+	Logf    func(format string, args ...any)
 }
 
 // Loop is the event loop.
@@ -111,7 +114,8 @@
 	pending bool       // the end of this turn is queued
 	dirty   []*Conn
 	armed   micro.Time
-	conns   []*Conn // accepted; each knows its place
+	hall    room          // of most listeners
+	apart   map[int]*room // of those that have places of their own
 	// Accepted connections that had sent nothing valid when they were last looked at, oldest first.
 	strangers []*Conn
 	waiting   int     // bytes in the buffers of all connections
@@ -120,25 +124,35 @@
 
 // Conn is one connection, accepted or dialled. It has one buffer for what is read and not yet taken.
 type Conn struct {
-	loop     *Loop
-	wire     Wire
-	session  Session
-	buf      []byte
-	out      []byte
-	closing  bool // closed at the end of the turn, after what is unsent
-	closed   bool
-	accepted bool
-	vouched  bool
-	place    int        // among the accepted
-	since    micro.Time // it was accepted
-	active   micro.Time // it last sent something, or was written to
-	counted  int        // its share of the loop's waiting bytes
+	loop    *Loop
+	wire    Wire
+	session Session
+	buf     []byte
+	out     []byte
+	closing bool // closed at the end of the turn, after what is unsent
+	closed  bool
+	room    *room // nil: dialled
+	vouched bool
+	place   int        // in its room
+	since   micro.Time // it was accepted
+	active  micro.Time // it last sent something, or was written to
+	counted int        // its share of the loop's waiting bytes
+}
+
+// room holds accepted connections; each knows its place.
+type room struct {
+	conns []*Conn
+	most  int
 }
 
 // New returns a loop on a driver, which has begun to run when it calls Begin; begin comes first on it, before any
 // session.
 func New(opts Options, d Driver, h Handler, begin func(*Loop)) *Loop {
-	return &Loop{opts: opts, driver: d, handler: h, begin: begin, armed: micro.Never}
+	l := &Loop{opts: opts, driver: d, handler: h, begin: begin, armed: micro.Never, hall: room{most: opts.MaxConns}, apart: map[int]*room{}}
+	for listener, most := range opts.Apart {
+		l.apart[listener] = &room{most: most}
+	}
+	return l
 }
 
 // Begin has the program behind the loop begin. Calls after the first do nothing.
@@ -199,12 +213,18 @@
 func (l *Loop) Accept(w Wire, listener int) *Conn {
 	l.touch()
 	// Guards against running out of descriptors, upon which the driver may have to give up listening altogether.
-	if len(l.conns) >= l.opts.MaxConns && !l.makeRoom() {
-		l.opts.Logf("transport: %s turned away: %d connections are open, all in use", w.Remote(), len(l.conns))
+	// A listener with places of its own guards both sides: no number of silent operators costs a proxy its place, and no
+	// crowd of proxies shuts the operators out.
+	r := l.apart[listener]
+	if r == nil {
+		r = &l.hall
+	}
+	if len(r.conns) >= r.most && !l.makeRoom(r) {
+		l.opts.Logf("transport: %s turned away: %d connections are open, all in use", w.Remote(), len(r.conns))
 		return nil
 	}
-	c := &Conn{loop: l, wire: w, accepted: true, place: len(l.conns), since: l.now, active: l.now}
-	l.conns = append(l.conns, c)
+	c := &Conn{loop: l, wire: w, room: r, place: len(r.conns), since: l.now, active: l.now}
+	r.conns = append(r.conns, c)
 	l.strangers = append(l.strangers, c)
 	c.session = l.handler.Accept(listener, c)
 	return c
@@ -275,11 +295,11 @@
 	l.touch()
 	c.closed, c.buf, c.out = true, nil, nil
 	c.count()
-	if c.accepted { // its place goes to the last one
-		last := l.conns[len(l.conns)-1]
-		l.conns[c.place], last.place = last, c.place
-		l.conns[len(l.conns)-1] = nil
-		l.conns = l.conns[:len(l.conns)-1]
+	if r := c.room; r != nil { // its place goes to the last one
+		last := r.conns[len(r.conns)-1]
+		r.conns[c.place], last.place = last, c.place
+		r.conns[len(r.conns)-1] = nil
+		r.conns = r.conns[:len(r.conns)-1]
 	}
 	c.session.Closed()
 }
@@ -362,17 +382,17 @@
 	return micro.Never
 }
 
-// makeRoom closes one accepted connection: the oldest stranger, or else the one that has been idle the longest.
-func (l *Loop) makeRoom() bool {
+// makeRoom closes one connection of a room: the oldest stranger, or else the one that has been idle the longest.
+func (l *Loop) makeRoom(r *room) bool {
 	var last *Conn
 	for _, c := range l.strangers {
-		if !c.closed && !c.vouched {
+		if !c.closed && !c.vouched && c.room == r {
 			last = c
 			break
 		}
 	}
 	if last == nil {
-		for _, c := range l.conns {
+		for _, c := range r.conns {
 			if (c.session.Idle() || planted.Bug(planted.RoomOpen)) && c.active+BusyLately <= l.now && (last == nil || c.active < last.active) {
 				last = c
 			}
@@ -381,7 +401,7 @@
 	if last == nil {
 		return false
 	}
-	l.opts.Logf("transport: %s closed to make room: %d connections are open", last.Remote(), len(l.conns))
+	l.opts.Logf("transport: %s closed to make room: %d connections are open", last.Remote(), len(r.conns))
 	last.wire.Close()
 	return true
 }
@@ -399,12 +419,12 @@
 		return
 	}
 	most := c
-	for _, o := range l.conns {
+	for _, o := range l.hall.conns { // those apart are few, and their sessions take little
 		if !o.closing && o.counted > most.counted {
 			most = o
 		}
 	}
-	if most.accepted && !most.closing {
+	if most.room != nil && !most.closing {
 		l.opts.Logf("transport: %s closed: it has %d of %d bytes that wait in all buffers", most.Remote(), most.counted, l.waiting)
 		most.out = nil
 		most.Close()
