--- a/cmd/pewterline/main.go
+++ b/cmd/pewterline/main.go
@@ -61,18 +61,44 @@
 			return err
 		}
 	}
+	before, err := approach(os.TempDir(), cfg, patience, logf)
+	if err != nil {
+		return err
+	}
+	h := &host{cfg: cfg, logf: logf}
+	srv.UseHost(h)
+	if before != nil {
+		if err := srv.Inherit(before.told); err != nil {
+			return err
+		}
+		h.before = before.path
+	}
 	opts := sockets.Options{Listen: []string{cfg.Listen, cfg.AJP.Listen, "", cfg.Admin}, Datagrams: cfg.Control, Clock: clock, Options: transport.Options{
 		// The limit on memory counts what the kernel holds of the sockets too; this leaves it as much again.
 		MaxConns: cfg.Sockets - spareSockets, Buffers: int(cfg.Memory / 8), Logf: logf,
-		Apart: map[int]int{edge.AdminListener: edge.AdminConns},
+		Apart: map[int]int{edge.AdminListener: edge.AdminConns, edge.HandoverListener: edge.HandoverConns},
 	}}
 	if cfg.AJP.Runner != "" {
 		opts.MaxConns -= cfg.AJP.Connections
 	}
+	// Before this process listens for proxies: the next one finds it from then on.
+	if wait := meetingPoint(os.TempDir(), cfg, logf); wait != nil {
+		defer func() { _ = wait.Close() }() // the path goes with it
+		h.wait = wait
+	}
+	h.conns, h.buffers = opts.MaxConns, opts.Buffers
 	loop, err := sockets.Start(opts, srv, func(l *transport.Loop) { srv.Attach(l) })
 	if err != nil {
 		return err
 	}
+	if err := h.use(loop); err != nil {
+		return err
+	}
+	if before != nil {
+		if err := loop.Adopt(before.conn, srv.Predecessor); err != nil {
+			return err
+		}
+	}
 	ended := make(chan struct{})
 	defer close(ended)
 	go func() {
@@ -86,7 +112,10 @@
 		}
 	}()
 	log.Printf("%s serves on %v", cfg.Name, loop.Addr(0))
-	return loop.Wait()
+	if err := loop.Wait(); err != nil {
+		return err
+	}
+	return h.failed()
 }
 
 // executor is the loop, as signals need it.
@@ -97,7 +126,7 @@
 
 // handle obeys a signal: SIGHUP has the configuration read anew, the others are the notice to drain.
 func handle(sig os.Signal, loop executor, srv *edge.Server) {
-	do := func() { srv.Drain(loop.Now()) }
+	do := func() { srv.Leave(loop.Now()) }
 	if sig == syscall.SIGHUP {
 		// Read and checked as a whole before anything changes: a faulty file must not harm a server that serves.
 		cfg, err := config.Load(os.Getenv)
--- a/internal/decide/handover/handover.go
+++ b/internal/decide/handover/handover.go
@@ -2,7 +2,7 @@
 // its successor. It is a state machine for each key in each process, without I/O, goroutines or a clock.
 //
 // One process, the Owner, may run a key that nobody knows of; the other, the Asker, asks for each. The owner tells the asker of
-// each run that begins and of its end. Ownership passes once, from the old process to the new one. Messages come in the
+// each run before it begins, and of its end. Ownership passes once, from the old process to the new one. Messages come in the
 // order in which they were sent.
 package handover
 
@@ -72,21 +72,18 @@
 	Wanted bool // the other process waits for its end
 }
 
-// Process is what a step depends on beside the key.
-type Process struct {
-	Role Role
-	// Mirror says that the owner has told of all its runs: what is unknown here when it goes has not run.
-	Mirror bool
-}
-
 // Step moves a key on. waiting says that tries of it wait here. It returns what is to be done, in that order.
-func (k *Key) Step(p Process, e Event, waiting bool) []Do {
+func (k *Key) Step(r Role, e Event, waiting bool) []Do {
 	switch e {
 	case Try:
-		return k.try(p)
-	case Granted, TakeOver:
+		return k.try(r)
+	case Granted: // in Away: it was held there, and dropped
+		if k.State == Asked || k.State == Away {
+			return k.admit(waiting, true)
+		}
+	case TakeOver:
 		if k.State == Asked {
-			return k.admit(waiting, e == Granted)
+			return k.admit(waiting, false)
 		}
 	case Began:
 		if k.State != Here && k.State != Done {
@@ -99,7 +96,7 @@
 		}
 	case Freed:
 		if k.State == Away && waiting {
-			if p.Role == Asker {
+			if r == Asker {
 				k.State = Asked
 				return []Do{Claim}
 			}
@@ -108,7 +105,7 @@
 			k.State = Free
 		}
 	case Claimed:
-		return k.claimed(p)
+		return k.claimed(r)
 	case HereEnded:
 		k.State, k.Wanted = Done, false
 		return []Do{TellEnded}
@@ -124,7 +121,7 @@
 			return []Do{TellBegan}
 		}
 	case Lost:
-		return k.lost(p, waiting)
+		return k.lost(waiting)
 	}
 	return nil
 }
@@ -142,10 +139,10 @@
 	return nil
 }
 
-func (k *Key) try(p Process) []Do {
+func (k *Key) try(r Role) []Do {
 	switch k.State {
 	case Free:
-		if p.Role == Asker {
+		if r == Asker {
 			k.State = Asked
 			return []Do{Park, Claim}
 		}
@@ -159,8 +156,8 @@
 	return []Do{Admit}
 }
 
-func (k *Key) claimed(p Process) []Do {
-	if p.Role != Owner {
+func (k *Key) claimed(r Role) []Do {
+	if r != Owner {
 		return nil // asked before it knew that it is the owner itself
 	}
 	switch k.State {
@@ -174,18 +171,14 @@
 	return []Do{Grant}
 }
 
-func (k *Key) lost(p Process, waiting bool) []Do {
+func (k *Key) lost(waiting bool) []Do {
 	k.Wanted = false
 	switch k.State {
 	case Away:
 		k.State = Doubt
 		return []Do{Fail}
-	case Asked:
-		if p.Mirror {
-			return k.admit(waiting, false)
-		}
-		k.State = Doubt
-		return []Do{Fail}
+	case Asked: // an owner tells of a run before it begins: none has
+		return k.admit(waiting, false)
 	}
 	return nil
 }
--- a/internal/edge/admin.go
+++ b/internal/edge/admin.go
@@ -6,6 +6,7 @@
 	"net/http"
 
 	"pewterline/internal/protocol/admin"
+	"pewterline/internal/protocol/upgrade"
 	"pewterline/internal/transport"
 )
 
@@ -91,11 +92,13 @@
 	Leaving   bool `json:"leaving"`
 }
 
-func (s *Server) state() adminState { return adminState{true, !s.out && !s.draining, s.draining} }
+func (s *Server) state() adminState {
+	return adminState{true, !s.out && !s.draining, s.draining || s.handed}
+}
 
 // sayReady says whether this process takes clients, in service or out: out of service, it takes whoever comes still.
 func (s *Server) sayReady() (any, error) {
-	if s.draining {
+	if s.draining || s.handed {
 		return nil, &admin.Error{Status: http.StatusServiceUnavailable, Text: "leaving: the notice to leave has come"}
 	}
 	return s.state(), nil
@@ -110,6 +113,9 @@
 	if s.out == in {
 		s.out = !in
 		s.logf("admin: in service: %v, %d requests are open", in, s.core.Open())
+		if s.kin != nil { // the word is about the log server, not about this process
+			s.kin.send(upgrade.Message{Kind: upgrade.Service, Out: s.out})
+		}
 	}
 	return s.state(), nil
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -56,6 +56,10 @@
 	servers  *fleetRunner
 	fronts   bag[*thriftSession]
 	offices  bag[*ajpSession]
+	host     Host
+	kin      *kin // the other process, in an upgrade
+	handed   bool // it has taken over from this one
+	handedAt micro.Time
 	out      bool                         // of service, by the operators' word
 	files    struct{ taken, refused int } // at SIGHUP
 	requests int                          // taken by the core so far
@@ -155,6 +159,8 @@
 	switch {
 	case listener == 1:
 		return s.acceptAJP(c)
+	case listener == HandoverListener:
+		return s.acceptHandover(c)
 	case listener == AdminListener:
 		return &adminSession{s: s, conn: c}
 	case listener == exchangeListener && s.servers != nil && s.servers.exchange != nil:
@@ -169,14 +175,27 @@
 		return micro.Never
 	}
 	s.core.Step(now)
-	if now >= s.nextReport || s.healthy() != s.reported {
+	if !s.handed && (now >= s.nextReport || s.healthy() != s.reported) { // then the successor reports
 		s.report(now)
 	}
 	if now >= s.nextSweep {
 		s.nextSweep = now + sweepEvery
 		s.closeIdle(now)
 	}
-	next := min(s.core.NextDue(), s.nextReport, s.nextSweep)
+	next := min(s.core.NextDue(), s.nextSweep)
+	if !s.handed {
+		next = min(next, s.nextReport)
+	}
+	if s.kin != nil && s.kin.successor {
+		if now >= s.kin.next {
+			s.kin.next = now + connsEvery
+			s.kin.conns()
+		}
+		next = min(next, s.kin.next)
+	}
+	if s.handed {
+		next = min(next, s.leaveHanded(now))
+	}
 	for _, a := range s.offices.items {
 		next = min(next, a.check(now))
 	}
@@ -238,7 +257,7 @@
 
 // Drain is the notice to leave.
 func (s *Server) Drain(now micro.Time) {
-	if s.draining {
+	if s.draining || s.handed {
 		return
 	}
 	s.draining, s.drainAt, s.stopAt = true, now, now+s.cfg.Stop-min(stopLead, s.cfg.Stop/4)
--- /dev/null
+++ b/internal/edge/handover.go
@@ -0,0 +1,317 @@
+package edge
+
+import (
+	"fmt"
+
+	"pewterline/internal/decide/handover"
+	"pewterline/internal/micro"
+	"pewterline/internal/protocol/upgrade"
+	"pewterline/internal/routing"
+	"pewterline/internal/transport"
+)
+
+const (
+	// HandoverListener is the index of the listener for a successor.
+	HandoverListener = 4
+	// HandoverConns are the connections of successors that may be open at once.
+	HandoverConns = 4
+	// The platform's figures: an old process has the longest deadline, three seconds at most, and this until it is killed.
+	handMost  = 3 * micro.Second
+	handAfter = 700 * micro.Millisecond
+	// What was in the listener's queue at the hand-over is read within this, and what crosses a farewell.
+	handLinger = 200 * micro.Millisecond
+	connsEvery = 100 * micro.Millisecond
+)
+
+// Host is what a hand-over needs of the process. Its methods are called on the loop.
+type Host interface {
+	// Steer has new connections go to the process that listened at that place: 0 for the old one, 1 for its successor.
+	Steer(place int)
+	// Share has this process keep to what the limits leave beside the other process with so many connections; negative: it
+	// is alone.
+	Share(others int)
+	// Orphaned says that the predecessor is out of reach and has not handed over.
+	Orphaned()
+}
+
+// UseHost lets the server hand over to a successor, and take over.
+func (s *Server) UseHost(h Host) { s.host = h }
+
+// kin is the link between an old process and its successor.
+type kin struct {
+	s         *Server
+	conn      transport.Link
+	successor bool // the other one is the successor
+	greeted   bool
+	keys      []routing.KeyName // to be told yet
+	synced    bool
+	yours     bool // ownership has passed
+	told      int  // connections, last
+	next      micro.Time
+	out       []byte
+}
+
+func (s *Server) acceptHandover(c transport.Link) transport.Session {
+	return &kin{s: s, conn: c, successor: true}
+}
+
+// Inherit takes up what a predecessor has told before the loop runs. It comes before Attach.
+func (s *Server) Inherit(told []upgrade.Message) error {
+	s.kin = &kin{s: s, greeted: true, synced: true}
+	s.core.Join(s.kin, handover.Asker)
+	for _, m := range told {
+		if err := s.kin.take(m); err != nil {
+			return err
+		}
+	}
+	s.logf("edge: %d messages of the predecessor taken up; it owns the keys until it hands over", len(told))
+	return nil
+}
+
+// Predecessor is the session of the link to the predecessor.
+func (s *Server) Predecessor(c transport.Link) transport.Session {
+	s.kin.conn = c
+	return s.kin
+}
+
+// Receive is part of transport.Session.
+func (k *kin) Receive(in []byte) (int, error) {
+	n := 0
+	if !k.greeted {
+		ok, err := upgrade.CheckPreamble(in)
+		if err != nil || !ok {
+			return 0, err
+		}
+		k.greeted, n = true, len(upgrade.Preamble)
+		k.conn.Write(upgrade.Preamble[:])
+	}
+	for {
+		m, size, err := upgrade.Parse(in[n:])
+		if err != nil || size == 0 {
+			return n, err
+		}
+		n += size
+		if err := k.take(m); err != nil {
+			return n, err
+		}
+	}
+}
+
+// Idle is part of transport.Session.
+func (k *kin) Idle() bool { return false }
+
+// Closed is part of transport.Session: the other process is gone, or as good as gone.
+func (k *kin) Closed() {
+	s := k.s
+	if s.kin != k {
+		return
+	}
+	s.kin = nil
+	s.logf("edge: the %s is gone, hand-over done: %v", k.who(), k.yours)
+	s.core.LostOther()
+	s.host.Share(-1)
+	if !k.successor && !k.yours {
+		s.host.Orphaned()
+	}
+}
+
+func (k *kin) who() string {
+	if k.successor {
+		return "successor"
+	}
+	return "predecessor"
+}
+
+func (k *kin) send(m upgrade.Message) {
+	if k.conn != nil {
+		k.out = upgrade.Append(k.out[:0], m)
+		k.conn.Write(k.out)
+	}
+}
+
+func (k *kin) take(m upgrade.Message) error {
+	s := k.s
+	if s.kin != k { // a stranger until it has said hello
+		if m.Kind != upgrade.Hello || !k.successor {
+			return fmt.Errorf("%w: kind %d before hello", upgrade.ErrFrame, m.Kind)
+		}
+		return k.greet(m)
+	}
+	in := routing.Intake{Tenant: s.tenants[m.Tenant], Once: m.Once, At: s.wall.FromUnixMilli(m.AtMS), Result: m.Result}
+	class, known := s.classes[m.Class]
+	in.Class = class
+	if m.Kind >= upgrade.Claim && !known {
+		return nil // of settings that this process does not have: no try of it can come here
+	}
+	switch m.Kind {
+	case upgrade.Welcome:
+		s.out = m.Out
+		if m.Learned != nil {
+			s.core.Learn(*m.Learned)
+		}
+	case upgrade.More:
+		k.more()
+	case upgrade.Yours:
+		k.yours = true
+		s.logf("edge: the predecessor has handed over")
+		s.core.TakeOver()
+	case upgrade.Service:
+		s.out = m.Out
+		s.logf("edge: in service: %v, as the %s was told", !m.Out, k.who())
+	case upgrade.Conns:
+		s.host.Share(m.Conns)
+	case upgrade.Claim:
+		s.core.Claimed(in)
+	case upgrade.Grant:
+		s.core.Granted(in)
+	case upgrade.Began:
+		s.core.BeganThere(in)
+	case upgrade.Passed:
+		s.core.EndedThere(in, routing.Passed)
+	case upgrade.Failed:
+		s.core.EndedThere(in, routing.Errored)
+	case upgrade.Freed:
+		s.core.FreedThere(in)
+	}
+	return nil
+}
+
+// greet takes a process for the successor, unless this one leaves or has an other already.
+func (k *kin) greet(m upgrade.Message) error {
+	s := k.s
+	why := ""
+	switch {
+	case m.Name != s.cfg.Name:
+		why = fmt.Sprintf("this is %s", s.cfg.Name)
+	case s.draining || s.handed:
+		why = "leaving"
+	case s.kin != nil:
+		why = "an upgrade is under way"
+	}
+	k.conn.Vouch()
+	if why != "" {
+		s.logf("edge: a successor is refused: %s", why)
+		k.send(upgrade.Message{Kind: upgrade.Refuse, Text: why})
+		k.conn.Close()
+		return nil
+	}
+	s.kin = k
+	s.logf("edge: a successor has come")
+	s.host.Steer(0)
+	s.host.Share(0) // it gets no connections yet
+	s.core.Join(k, handover.Owner)
+	learned := s.core.Learned()
+	k.send(upgrade.Message{Kind: upgrade.Welcome, Out: s.out, Learned: &learned})
+	k.conns()
+	k.keys = s.core.Keys()
+	k.more()
+	return nil
+}
+
+// more tells the next keys, or that these were all.
+func (k *kin) more() {
+	if k.synced {
+		return
+	}
+	n := min(len(k.keys), upgrade.Chunk)
+	for _, name := range k.keys[:n] {
+		k.s.core.TellKey(name)
+	}
+	k.keys = k.keys[n:]
+	if n > 0 {
+		k.send(upgrade.Message{Kind: upgrade.More})
+		return
+	}
+	k.synced = true
+	k.send(upgrade.Message{Kind: upgrade.Synced})
+}
+
+// conns tells the successor how many connections are open, so that both keep to one limit.
+func (k *kin) conns() {
+	n := k.s.fronts.len() + k.s.offices.len()
+	if k.told != n {
+		k.told = n
+		k.send(upgrade.Message{Kind: upgrade.Conns, Conns: n})
+	}
+}
+
+func (k *kin) key(kind upgrade.Kind, in routing.Intake) {
+	m := upgrade.Message{Kind: kind, Class: k.s.cfg.Settings.Classes[in.Class].Name, Once: in.Once, AtMS: k.s.wall.UnixMilli(in.At)}
+	if in.Tenant < len(k.s.cfg.Settings.Tenants) {
+		m.Tenant = k.s.cfg.Settings.Tenants[in.Tenant].Name
+	}
+	if kind == upgrade.Passed {
+		m.Result = in.Result
+	}
+	k.send(m)
+}
+
+// Claim is part of routing.Other.
+func (k *kin) Claim(in routing.Intake) { k.key(upgrade.Claim, in) }
+
+// Grant is part of routing.Other.
+func (k *kin) Grant(in routing.Intake) { k.key(upgrade.Grant, in) }
+
+// Began is part of routing.Other.
+func (k *kin) Began(in routing.Intake) { k.key(upgrade.Began, in) }
+
+// Freed is part of routing.Other.
+func (k *kin) Freed(in routing.Intake) { k.key(upgrade.Freed, in) }
+
+// Ended is part of routing.Other.
+func (k *kin) Ended(in routing.Intake, end routing.End) {
+	if end == routing.Passed {
+		k.key(upgrade.Passed, in)
+		return
+	}
+	k.key(upgrade.Failed, in)
+}
+
+// Leave is SIGTERM: a hand-over where a successor stands ready, else the notice to drain.
+func (s *Server) Leave(now micro.Time) {
+	if s.kin == nil || !s.kin.successor || !s.kin.synced || s.draining || s.handed {
+		s.Drain(now)
+		return
+	}
+	longest := micro.Time(0)
+	for _, c := range s.cfg.Settings.Classes {
+		longest = max(longest, micro.Of(c.Deadline))
+	}
+	stop := min(s.cfg.Stop, min(longest, handMost)+handAfter)
+	s.handed, s.farewell, s.handedAt, s.stopAt = true, true, now, now+stop-min(stopLead, stop/4)
+	s.host.Steer(1)
+	s.core.HandOver()
+	s.kin.yours = true
+	s.kin.send(upgrade.Message{Kind: upgrade.Yours})
+	for _, t := range s.fronts.items {
+		t.farewell(now)
+	}
+	for _, a := range s.offices.items {
+		a.leave()
+	}
+	s.logf("edge: handed over with %d requests and %d connections open, to stop within %v", s.core.Open(), s.fronts.len()+s.offices.len(), (s.stopAt - now).Duration())
+}
+
+// leaveHanded ends an old process once all that it read is answered and its keyed runs have ended. Its peers have closed by
+// then, as farewell asks of them, or are cut off at the end.
+func (s *Server) leaveHanded(now micro.Time) micro.Time {
+	if s.stopped {
+		return micro.Never
+	}
+	if now >= s.stopAt-stopLead/2 {
+		s.core.EndAll()
+	}
+	quiet := s.core.Open() == 0 && s.core.KeyedRuns() == 0 && s.fronts.len()+s.offices.len() == 0
+	if now >= s.handedAt+handLinger && quiet || now >= s.stopAt {
+		s.stopped = true
+		s.logf("edge: gone after %d requests, %d are open", s.requests, s.core.Open())
+		s.loop.Stop()
+		return micro.Never
+	}
+	for _, at := range []micro.Time{s.handedAt + handLinger, s.stopAt - stopLead/2} {
+		if now < at {
+			return at
+		}
+	}
+	return s.stopAt
+}
--- /dev/null
+++ b/internal/procs/caller.go
@@ -0,0 +1,154 @@
+package procs
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"pewterline/internal/protocol/thrift"
+)
+
+// ErrUnheard says that a connection ended before a request on it had its answer.
+var ErrUnheard = errors.New("procs: the connection has ended without an answer")
+
+var ids atomic.Uint64
+
+// Conn is a proxy's connection.
+type Conn struct {
+	c       net.Conn
+	mu      sync.Mutex
+	seq     int32
+	waiting map[int32]chan thrift.Reply
+	bidden  bool // farewell has come: the peer wants no new request here
+	ended   bool
+}
+
+// Dial opens a connection.
+func Dial(addr string) (*Conn, error) {
+	c, err := net.DialTimeout("tcp", addr, Patience)
+	if err != nil {
+		return nil, err
+	}
+	k := &Conn{c: c, waiting: map[int32]chan thrift.Reply{}}
+	go k.read()
+	return k, nil
+}
+
+// Close ends it.
+func (k *Conn) Close() { _ = k.c.Close() }
+
+func (k *Conn) read() {
+	var buf []byte
+	more := make([]byte, 16<<10)
+	defer k.end()
+	for {
+		payload, n, err := thrift.Split(buf)
+		if err != nil {
+			return
+		}
+		if payload == nil {
+			got, err := k.c.Read(more)
+			if err != nil {
+				return
+			}
+			buf = append(buf, more[:got]...)
+			continue
+		}
+		p, err := thrift.DecodeReply(append([]byte(nil), payload...))
+		if err != nil {
+			return
+		}
+		buf = buf[n:]
+		k.mu.Lock()
+		if p.Kind == thrift.Farewell {
+			k.bidden = true
+		} else if w := k.waiting[p.Seq]; w != nil {
+			delete(k.waiting, p.Seq)
+			w <- p
+		}
+		leave := k.bidden && len(k.waiting) == 0
+		k.mu.Unlock()
+		if leave { // as proxies do once everything is answered
+			return
+		}
+	}
+}
+
+func (k *Conn) end() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.ended = true
+	for _, w := range k.waiting {
+		close(w)
+	}
+	k.waiting = nil
+	_ = k.c.Close()
+}
+
+// Usable says that a new request may come on it.
+func (k *Conn) Usable() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return !k.bidden && !k.ended
+}
+
+// Asked is a request that was sent.
+type Asked struct{ w chan thrift.Reply }
+
+// Answer waits for the answer.
+func (a Asked) Answer() (thrift.Reply, error) {
+	select {
+	case p, ok := <-a.w:
+		if !ok {
+			return p, ErrUnheard
+		}
+		return p, nil
+	case <-time.After(Patience):
+		return thrift.Reply{}, errors.New("procs: no answer")
+	}
+}
+
+// Ask sends a request of a class, which came at a time; once is its key, "" for none.
+func (k *Conn) Ask(class, once, body string, at time.Time) (Asked, error) {
+	fields := []thrift.Field{{Name: "class", Value: class}, {Name: "id", Value: fmt.Sprintf("%016x", ids.Add(1))},
+		{Name: "at", Value: fmt.Sprint(at.UnixMilli())}, {Name: "from", Value: "1"}, {Name: "tenant", Value: "lake-vines"},
+		{Name: "kb", Value: "9"}, {Name: "rank", Value: "0.9"}}
+	if once != "" {
+		fields = append(fields, thrift.Field{Name: "once", Value: once})
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.ended {
+		return Asked{}, ErrUnheard
+	}
+	k.seq++
+	w := make(chan thrift.Reply, 1)
+	k.waiting[k.seq] = w
+	if _, err := k.c.Write(thrift.AppendCall(nil, k.seq, fields, []byte(body))); err != nil {
+		delete(k.waiting, k.seq)
+		return Asked{}, ErrUnheard
+	}
+	return Asked{w}, nil
+}
+
+// Probe is a health check on a connection of its own.
+func Probe(addr string) (good bool, err error) {
+	k, err := Dial(addr)
+	if err != nil {
+		return false, err
+	}
+	defer k.Close()
+	k.mu.Lock()
+	w := make(chan thrift.Reply, 1)
+	k.waiting[1] = w
+	_, err = k.c.Write(thrift.AppendProbe(nil, 1, false))
+	k.mu.Unlock()
+	if err != nil {
+		return false, err
+	}
+	p, err := Asked{w}.Answer()
+	return p.Good, err
+}
--- /dev/null
+++ b/internal/procs/pool.go
@@ -0,0 +1,160 @@
+package procs
+
+import (
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"pewterline/internal/protocol/pool"
+)
+
+// Ledger is what was run, by all worker pools of a log server.
+type Ledger struct {
+	mu   sync.Mutex
+	runs map[string][]string // IDs that were run, by body
+}
+
+// NewLedger returns an empty one.
+func NewLedger() *Ledger { return &Ledger{runs: map[string][]string{}} }
+
+func (l *Ledger) ran(body, id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.runs[body] = append(l.runs[body], id)
+}
+
+// Runs are the IDs that ran with a body.
+func (l *Ledger) Runs(body string) []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]string(nil), l.runs[body]...)
+}
+
+// Twice are the bodies that ran more than once.
+func (l *Ledger) Twice() (out []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for body, ids := range l.runs {
+		if len(ids) > 1 {
+			out = append(out, fmt.Sprintf("%s by %v", body, ids))
+		}
+	}
+	return out
+}
+
+// Pool is a worker pool at one address. A result is "did " and the body.
+type Pool struct {
+	ln      net.Listener
+	ledger  *Ledger
+	mu      sync.Mutex
+	conn    net.Conn
+	notice  uint64
+	hold    bool
+	held    map[string]string // bodies of runs that wait, by ID
+	started chan string       // bodies, as their runs begin
+}
+
+// NewPool opens a worker pool that ends each run at once.
+func NewPool(l *Ledger) (*Pool, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	p := &Pool{ln: ln, ledger: l, held: map[string]string{}, started: make(chan string, 1<<16)}
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			p.mu.Lock()
+			p.conn = c
+			p.mu.Unlock()
+			go p.serve(c)
+		}
+	}()
+	return p, nil
+}
+
+// Addr is where it listens.
+func (p *Pool) Addr() string { return p.ln.Addr().String() }
+
+// Close ends it.
+func (p *Pool) Close() { _ = p.ln.Close() }
+
+// Hold has runs wait from now on, until Release.
+func (p *Pool) Hold() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.hold = true
+}
+
+// Release ends all runs that wait, and those to come at once.
+func (p *Pool) Release() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.hold = false
+	for id, body := range p.held {
+		p.finish(id, body)
+	}
+	clear(p.held)
+}
+
+// Started returns when a run with that body has begun.
+func (p *Pool) Started(body string) error {
+	late := time.After(Patience)
+	for {
+		select {
+		case b := <-p.started:
+			if b == body {
+				return nil
+			}
+		case <-late:
+			return fmt.Errorf("procs: %s was not run", body)
+		}
+	}
+}
+
+func (p *Pool) finish(id, body string) {
+	p.notice++
+	_, _ = p.conn.Write(pool.AppendFinished(nil, p.notice, id, pool.Pass, 1, []byte("did "+body)))
+}
+
+func (p *Pool) serve(c net.Conn) {
+	var buf []byte
+	more := make([]byte, 64<<10)
+	for {
+		k, n, err := pool.ParseCommand(buf)
+		if err != nil {
+			_ = c.Close()
+			return
+		}
+		if n == 0 {
+			got, err := c.Read(more)
+			if err != nil {
+				return
+			}
+			buf = append(buf, more[:got]...)
+			continue
+		}
+		p.mu.Lock()
+		switch k.Order {
+		case pool.Bind:
+			_, _ = c.Write([]byte("bound LOADED 60000\r\n"))
+		case pool.Poll:
+			_, _ = fmt.Fprintf(c, "polled %s 0.1 0 0.1 1\r\n", k.Tag)
+		case pool.Spawn:
+			body := string(k.Body)
+			p.ledger.ran(body, k.ID)
+			p.started <- body
+			if p.hold {
+				p.held[k.ID] = body
+			} else {
+				p.finish(k.ID, body)
+			}
+		}
+		p.mu.Unlock()
+		buf = buf[n:]
+	}
+}
--- /dev/null
+++ b/internal/procs/procs.go
@@ -0,0 +1,204 @@
+// Package procs starts real processes of the program for tests, with stand-ins for their worker pools and callers, and
+// ends only what it started. All addresses are ephemeral ports of the loopback.
+package procs
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Patience is how long the rig waits for what has to come. It is no verdict on time: it only ends a test that hangs.
+const Patience = 30 * time.Second
+
+// Build builds the program from the module's root into dir and returns its path.
+func Build(root, dir string) (string, error) {
+	path := filepath.Join(dir, "pewterline")
+	cmd := exec.Command("go", "build", "-o", path, "./cmd/pewterline")
+	cmd.Dir = root
+	if out, err := cmd.CombinedOutput(); err != nil {
+		return "", fmt.Errorf("procs: build: %w: %s", err, out)
+	}
+	return path, nil
+}
+
+// Server is one log server, of which several processes may live at once.
+type Server struct {
+	Program  string
+	Dir      string // $TMPDIR of its processes
+	Listen   string
+	Settings json.RawMessage
+	StopMS   int
+	Ledger   *Ledger
+	mu       sync.Mutex
+	all      []*Process
+}
+
+// Process is one process of a log server, with its own address of the worker pool.
+type Process struct {
+	Admin, Config string
+	Pool          *Pool
+	cmd           *exec.Cmd
+	log           safeBuffer
+	done          chan struct{}
+	err           error
+}
+
+type safeBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (s *safeBuffer) Write(p []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.Write(p)
+}
+
+func (s *safeBuffer) String() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.String()
+}
+
+// FreeAddress is an address of the loopback on which nothing listens now.
+func FreeAddress() (string, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer ln.Close()
+	return ln.Addr().String(), nil
+}
+
+// Start starts a process. change may alter its configuration.
+func (s *Server) Start(change func(map[string]any)) (*Process, error) {
+	admin, err := FreeAddress()
+	if err != nil {
+		return nil, err
+	}
+	pool, err := NewPool(s.Ledger)
+	if err != nil {
+		return nil, err
+	}
+	cfg := map[string]any{"name": "n0", "listen": s.Listen, "pool": pool.Addr(), "admin": admin, "stop_ms": s.StopMS, "seed": "8c1f30d27a5be964",
+		"limits": map[string]any{"cores": 1.0, "memory_mb": 64, "sockets": 512}, "settings": s.Settings}
+	if change != nil {
+		change(cfg)
+	}
+	p := &Process{Admin: admin, Pool: pool, done: make(chan struct{})}
+	p.Config = filepath.Join(s.Dir, fmt.Sprintf("config-%s.json", strings.ReplaceAll(admin, ":", "-")))
+	if err := p.Rewrite(cfg); err != nil {
+		return nil, err
+	}
+	p.cmd = exec.Command(s.Program)
+	p.cmd.Env = append(os.Environ(), "TMPDIR="+s.Dir, "RELAY_CONFIG="+p.Config, "RELAY_NAME=", "RELAY_LISTEN=", "RELAY_ADMIN=", "RELAY_AJP=", "RELAY_STORE=", "RELAY_FLEET=")
+	p.cmd.Dir = s.Dir
+	p.cmd.Stderr = &p.log
+	if err := p.cmd.Start(); err != nil {
+		return nil, fmt.Errorf("procs: start: %w", err)
+	}
+	go func() {
+		p.err = p.cmd.Wait()
+		pool.Close()
+		close(p.done)
+	}()
+	s.mu.Lock()
+	s.all = append(s.all, p)
+	s.mu.Unlock()
+	return p, nil
+}
+
+// Rewrite writes the configuration file anew.
+func (p *Process) Rewrite(cfg any) error {
+	text, err := json.Marshal(cfg)
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(p.Config, text, 0o600)
+}
+
+// Signal sends a signal to the process.
+func (p *Process) Signal(s syscall.Signal) error { return p.cmd.Process.Signal(s) }
+
+// Wait waits for the process's end and returns how it exited.
+func (p *Process) Wait() error {
+	select {
+	case <-p.done:
+		return p.err
+	case <-time.After(Patience):
+		return errors.New("procs: the process has not ended")
+	}
+}
+
+// Ended says that the process is gone.
+func (p *Process) Ended() bool {
+	select {
+	case <-p.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// Log is what the process has logged.
+func (p *Process) Log() string { return p.log.String() }
+
+// Call has an operator call; it returns the status and the body.
+func (p *Process) Call(method, path string) (int, string, error) {
+	req, err := http.NewRequest(method, "http://"+p.Admin+path, nil)
+	if err != nil {
+		return 0, "", err
+	}
+	res, err := (&http.Client{Timeout: Patience, Transport: &http.Transport{DisableKeepAlives: true}}).Do(req)
+	if err != nil {
+		return 0, "", err
+	}
+	defer res.Body.Close()
+	body, err := io.ReadAll(res.Body)
+	return res.StatusCode, string(body), err
+}
+
+// Ready waits until the process says that it takes clients.
+func (p *Process) Ready() error {
+	for until := time.Now().Add(Patience); time.Now().Before(until); time.Sleep(2 * time.Millisecond) {
+		if p.Ended() {
+			return fmt.Errorf("procs: the process has ended: %w\n%s", p.err, p.Log())
+		}
+		if status, _, err := p.Call(http.MethodGet, "/control/ready"); err == nil && status == http.StatusOK {
+			return nil
+		}
+	}
+	return errors.New("procs: not ready\n" + p.Log())
+}
+
+// Close ends all processes that were started. It is an error if one would not die.
+func (s *Server) Close() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var errs []error
+	for _, p := range s.all {
+		if p.Ended() {
+			continue
+		}
+		_ = p.Signal(syscall.SIGKILL)
+		if err := p.Wait(); err != nil {
+			var exit *exec.ExitError
+			if !errors.As(err, &exit) {
+				errs = append(errs, err)
+			}
+		}
+	}
+	return errors.Join(errs...)
+}
--- /dev/null
+++ b/internal/protocol/upgrade/upgrade.go
@@ -0,0 +1,134 @@
+// Package upgrade reads and writes what an old process and its successor tell each other: a preamble with the version, then
+// frames of a length and a CBOR map (RFC 8949), over byte slices. Unknown fields are passed over.
+package upgrade
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"pewterline/control"
+)
+
+// Version is of the messages. It is in the preamble, so that a release that speaks another one is known by its first bytes.
+const Version = 1
+
+// Preamble comes first in both directions.
+var Preamble = [6]byte{'p', 'w', 't', 'u', 0, Version}
+
+// MaxFrame bounds a message, in bytes: a result of the protocol's 4 KiB with its names, or what was learned.
+const MaxFrame = 64 << 10
+
+// Chunk is how many keys are told before the successor has to ask for more. With the largest results they stay below what a
+// connection may leave unread.
+const Chunk = 32
+
+// The errors; both say that the connection is past help.
+var (
+	ErrFrame   = errors.New("upgrade: broken frame")
+	ErrVersion = errors.New("upgrade: the other process speaks another version")
+)
+
+// Kind says what a message is.
+type Kind uint8
+
+// The kinds of messages. Those of keys go both ways.
+const (
+	Hello   Kind = iota + 1 // successor: its Name
+	Welcome                 // old: what it has Learned, and whether it is Out of service
+	Refuse                  // old: Text says why; the connection ends
+	More                    // successor: asks for the next keys
+	Synced                  // old: all keys were told; from now on each change
+	Yours                   // old: the successor owns the keys, and gets new connections
+	Service                 // an operator has taken the log server out of service or in: Out
+	Conns                   // old: how many connections it has open
+	Claim                   // of a key: may it run here?
+	Grant
+	Began
+	Passed // with Result
+	Failed
+	Freed
+	kinds
+)
+
+// Message is one message.
+type Message struct {
+	Kind    Kind             `cbor:"1,keyasint"`
+	Name    string           `cbor:"2,keyasint,omitempty"`
+	Class   string           `cbor:"3,keyasint,omitempty"`
+	Tenant  string           `cbor:"4,keyasint,omitempty"`
+	Once    string           `cbor:"5,keyasint,omitempty"`
+	AtMS    int64            `cbor:"6,keyasint,omitempty"` // Unix milliseconds
+	Result  []byte           `cbor:"7,keyasint,omitempty"`
+	Out     bool             `cbor:"8,keyasint,omitempty"`
+	Conns   int              `cbor:"9,keyasint,omitempty"`
+	Text    string           `cbor:"10,keyasint,omitempty"`
+	Learned *control.Learned `cbor:"11,keyasint,omitempty"`
+}
+
+var reader = func() cbor.DecMode {
+	m, err := cbor.DecOptions{MaxArrayElements: 1 << 12, MaxMapPairs: 1 << 10, MaxNestedLevels: 8, DupMapKey: cbor.DupMapKeyEnforcedAPF}.DecMode()
+	if err != nil {
+		panic(err) // of the options above alone
+	}
+	return m
+}()
+
+// Append writes a message.
+func Append(out []byte, m Message) []byte {
+	body, err := cbor.Marshal(m)
+	if err != nil {
+		panic(fmt.Sprintf("upgrade: %v", err)) // of the struct above alone
+	}
+	out = binary.BigEndian.AppendUint32(out, uint32(len(body)))
+	return append(out, body...)
+}
+
+// Size is how long the body is whose length begins in.
+func Size(in []byte) (int, error) {
+	n := binary.BigEndian.Uint32(in)
+	if n == 0 || n > MaxFrame {
+		return 0, fmt.Errorf("%w: a length of %d", ErrFrame, n)
+	}
+	return int(n), nil
+}
+
+// Decode reads the body of a message.
+func Decode(body []byte) (m Message, err error) {
+	if err := reader.Unmarshal(body, &m); err != nil {
+		return m, fmt.Errorf("%w: %w", ErrFrame, err)
+	}
+	if m.Kind == 0 || m.Kind >= kinds {
+		return m, fmt.Errorf("%w: a message of kind %d", ErrFrame, m.Kind)
+	}
+	return m, nil
+}
+
+// Parse reads a message from the front of in; size is 0 while more is to come.
+func Parse(in []byte) (m Message, size int, err error) {
+	if len(in) < 4 {
+		return m, 0, nil
+	}
+	n, err := Size(in)
+	if err != nil || len(in) < 4+n {
+		return m, 0, err
+	}
+	m, err = Decode(in[4 : 4+n])
+	return m, 4 + n, err
+}
+
+// CheckPreamble reads the preamble. It returns false while more is to come.
+func CheckPreamble(in []byte) (bool, error) {
+	n := min(len(in), len(Preamble))
+	for i := range n {
+		if in[i] != Preamble[i] {
+			if i < 4 {
+				return false, fmt.Errorf("%w: no preamble", ErrFrame)
+			}
+			return false, ErrVersion
+		}
+	}
+	return n == len(Preamble), nil
+}
--- a/internal/routing/keys.go
+++ b/internal/routing/keys.go
@@ -6,6 +6,7 @@
 	"maps"
 
 	"pewterline/control"
+	"pewterline/internal/decide/handover"
 	"pewterline/internal/micro"
 	"pewterline/internal/planted"
 )
@@ -39,7 +40,10 @@
 
 	unsaved  bool // the run has ended, but its result is not on record
 	saving   bool // it is on its way there
-	restored bool // from the store of record: an earlier life ran it
+	restored bool // from the store of record, or from another process: the module has not seen its run
+
+	side   handover.State // Asked, Away or Doubt where the other process has a say; else Free
+	wanted bool           // the other process waits for its end
 }
 
 // claim marks the key as run by r, unless another try has run.
@@ -58,6 +62,7 @@
 	fresh  []*onceEntry              // seen in this turn and not yet kept
 	seed   maphash.Seed
 	swept  micro.Time
+	freed  []*onceEntry // held no more, without a run, since the last step
 	// Intakes that a runner lost sight of: they may have run, until then. Their repeats go to the runner again, but
 	// none is told that it was turned away.
 	doubts map[onceKey]micro.Time
@@ -86,19 +91,28 @@
 // ID is that of the try it repeats, 0 for none. What counts is when the repeat arrived, not when it is read.
 func (t *keyTable) arrive(r *request) (*onceEntry, control.ID) {
 	name := onceKey{r.Tenant, r.Once}
-	e := t.byName[name]
-	if e != nil && (!e.kept || r.At < e.expires || e.ran && !e.over) && !(planted.Bug(planted.KeyTwice) && e.ran && !e.over) {
-		return e, e.holder
-	}
-	if e != nil {
+	if e := t.current(name, r.At); e != nil {
+		if !(planted.Bug(planted.KeyTwice) && e.ran && !e.over) {
+			return e, e.holder
+		}
 		t.remove(e)
 	}
-	e = &onceEntry{name: name, class: r.Class, sum: maphash.Bytes(t.seed, r.Body), holder: r.id}
+	e := &onceEntry{name: name, class: r.Class, at: r.At, sum: maphash.Bytes(t.seed, r.Body), holder: r.id}
 	t.byName[name], t.byID[r.id] = e, e
 	t.fresh = append(t.fresh, e)
 	return e, 0
 }
 
+// current is the entry that counts for a try that arrived at a time; one whose window is over is removed.
+func (t *keyTable) current(name onceKey, at micro.Time) *onceEntry {
+	e := t.byName[name]
+	if e == nil || !e.kept || at < e.expires || e.ran && !e.over || e.side == handover.Asked || e.side == handover.Away {
+		return e
+	}
+	t.remove(e)
+	return nil
+}
+
 // keep makes r the holder of its entry until expires.
 func (t *keyTable) keep(r *request, expires micro.Time) {
 	e := r.key
@@ -117,6 +131,7 @@
 func (t *keyTable) drop(id control.ID) {
 	if e := t.byID[id]; e != nil && !e.ran {
 		t.remove(e)
+		t.freed = append(t.freed, e)
 	}
 }
 
@@ -135,6 +150,7 @@
 func (t *keyTable) unrun(e *onceEntry) {
 	e.ran = false
 	t.remove(e)
+	t.freed = append(t.freed, e)
 }
 
 func (t *keyTable) remove(e *onceEntry) {
@@ -151,6 +167,7 @@
 	for _, e := range t.fresh {
 		if !e.kept && !e.ran {
 			t.remove(e)
+			t.freed = append(t.freed, e)
 		}
 	}
 	t.fresh = t.fresh[:0]
--- a/internal/routing/record.go
+++ b/internal/routing/record.go
@@ -45,6 +45,7 @@
 			return
 		}
 		k.unsaved, k.over, k.end = false, true, Passed
+		c.tellEnded(k)
 		c.conclude(k, r, Passed, k.result)
 	})
 }
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -10,6 +10,7 @@
 	"slices"
 
 	"pewterline/control"
+	"pewterline/internal/decide/handover"
 	"pewterline/internal/micro"
 	"pewterline/internal/planted"
 )
@@ -115,6 +116,7 @@
 	recorder Recorder // nil: results are kept in memory only
 	logf     func(format string, args ...any)
 	begun    bool
+	learned  *control.Learned // by a predecessor; nil: there was none
 	now      micro.Time
 
 	lastID  control.ID
@@ -123,7 +125,10 @@
 	keys    keyTable
 	open    int // requests that are owed an answer
 	events  []control.Event
-	ready   []*request // repeats of restored intakes, to be answered in the next step
+	ready   []due // to be answered in the next step, without the module
+	other   Other // nil: this process is alone
+	role    handover.Role
+	parked  []*request // wait for the other process, oldest first
 	wakes   []wake
 	gauges  control.Gauges
 	figures []Figures // by class
@@ -172,6 +177,10 @@
 		panic(fmt.Sprintf("routing: settings: %v", err))
 	}
 	c.begun, c.ctl = true, ctl
+	if c.learned != nil {
+		ctl.Learn(*c.learned)
+		c.say, c.saying = c.learned.Said, s.Signal != control.SignalNone
+	}
 	born := max(now-age, 0)
 	c.carryOut(now, c.ctl.Step(born.Duration(), nil))
 	for i := range c.wakes { // the tick that the dated step asked for is due from now on
@@ -221,23 +230,30 @@
 	c.Begin(now, 0, false)
 	c.lastID++
 	q := &request{Request: r, id: c.lastID, read: now}
+	c.live[q.id], c.runs[r.RunID] = q, q
+	c.open++
+	if !keyed || !c.apart(q) {
+		c.arrive(q)
+	}
+	return q.id, nil
+}
+
+// arrive hands a request to the module.
+func (c *Core) arrive(q *request) {
 	e := control.Arrive{
-		ID: q.id, Class: r.Class, Tenant: r.Tenant, Key: r.Key, Age: max(now-r.At, 0).Duration(),
-		HeldKB: r.HeldKB, Rank: r.Rank, Retry: r.Retry, Caller: r.Caller,
+		ID: q.id, Class: q.Class, Tenant: q.Tenant, Key: q.Key, Age: max(c.now-q.At, q.read-q.At, 0).Duration(),
+		HeldKB: q.HeldKB, Rank: q.Rank, Retry: q.Retry, Caller: q.Caller,
 	}
-	if keyed {
+	if c.settings.Classes[q.Class].Effect == control.Keyed {
 		q.key, e.Original = c.keys.arrive(q)
 		e.Key = 0
-	}
-	c.live[q.id], c.runs[r.RunID] = q, q
-	c.open++
-	if q.key != nil && q.key.restored { // the module has not seen the run of an earlier life
-		q.state = joined
-		c.ready = append(c.ready, q)
-		return q.id, nil
+		if q.key.restored { // the module has not seen the run
+			q.state = joined
+			c.ready = append(c.ready, due{q, q.key.answer()})
+			return
+		}
 	}
 	c.events = append(c.events, e)
-	return q.id, nil
 }
 
 // GiveUp says that the caller of a request has left: no answer is owed.
@@ -274,6 +290,9 @@
 	for _, w := range c.wakes {
 		due = min(due, w.at)
 	}
+	for _, r := range c.parked {
+		due = min(due, c.parkedDue(r))
+	}
 	return due
 }
 
@@ -283,11 +302,13 @@
 	if !c.begun {
 		return
 	}
-	for _, r := range c.ready {
-		c.answer(r, Answer{Status: Served, Result: r.key.result})
-		c.forget(r)
+	for _, d := range c.ready {
+		c.answer(d.r, d.a)
+		c.forget(d.r)
 	}
 	c.ready = nil
+	c.expireParked(now)
+	c.tellFreed()
 	ticked := false
 	c.wakes = slices.DeleteFunc(c.wakes, func(w wake) bool {
 		if w.at > now {
@@ -303,6 +324,7 @@
 	events := c.events
 	c.events = nil
 	c.carryOut(now, c.ctl.Step(now.Duration(), events))
+	c.tellFreed()
 	if ticked {
 		c.runner.Poll()
 		c.keys.sweep(now)
@@ -361,6 +383,9 @@
 		return
 	}
 	r.state = running
+	if r.key != nil && c.other != nil && c.role == handover.Owner {
+		c.other.Began(r.key.intake()) // before it begins: what the other knows outlives this process
+	}
 	c.start(r)
 }
 
@@ -449,6 +474,7 @@
 		c.save(k, r)
 	default:
 		k.over, k.end, k.result = true, end, result
+		c.tellEnded(k)
 		c.conclude(k, r, end, result)
 	}
 }
@@ -565,6 +591,9 @@
 	if c.runs[r.RunID] == r {
 		delete(c.runs, r.RunID)
 	}
+	if len(c.parked) > 0 {
+		c.unpark(r)
+	}
 	if r.key != nil {
 		r.key.waiters = slices.DeleteFunc(r.key.waiters, func(w *request) bool { return w == r })
 	}
--- a/internal/transport/sockets/sockets.go
+++ b/internal/transport/sockets/sockets.go
@@ -215,7 +215,8 @@
 	d    *driver
 	gc   gnet.Conn
 	conn *transport.Conn
-	dial *transport.Dial // while it is being opened
+	dial *transport.Dial // while it is being opened; nil: it came to a listener
+	to   int             // that listener
 }
 
 // OnOpen gives a new connection its session.
@@ -231,15 +232,16 @@
 	if _, own := gc.Context().(enrolling); own {
 		return nil, gnet.None
 	}
-	s, dialled := gc.Context().(*socket)
-	if dialled {
-		s.gc = gc
+	s, ours := gc.Context().(*socket)
+	if !ours {
+		s = &socket{d: d, to: d.listenerOf(gc)}
+		gc.SetContext(s)
+	}
+	if s.gc = gc; s.dial != nil {
 		_ = gc.SetNoDelay(true)
 		s.conn = d.loop.Connected(s.dial, s)
 	} else {
-		s = &socket{d: d, gc: gc}
-		gc.SetContext(s)
-		s.conn = d.loop.Accept(s, d.listenerOf(gc))
+		s.conn = d.loop.Accept(s, s.to)
 	}
 	if s.conn == nil {
 		return nil, gnet.Close
@@ -315,14 +317,54 @@
 	if err != nil {
 		return err
 	}
-	ctx := gnet.NewContext(gnet.NewNetConnContext(context.Background(), nc), &socket{d: d, dial: k})
-	res, err := d.engine.Register(ctx)
+	return d.register(nc, &socket{d: d, dial: k})
+}
+
+// Adopt takes up a connection that was opened off the loop; open gives its session.
+func (l *Loop) Adopt(nc net.Conn, open func(transport.Link) transport.Session) error {
+	return l.d.register(nc, &socket{d: l.d, dial: l.Taken(open)})
+}
+
+// Serve accepts on a listener of another kind than gnet's, as the one of that index, until it is closed. gnet has no Unix
+// sockets beside listeners with SO_REUSEPORT. Only the waiting is done off the loop.
+func (l *Loop) Serve(ln net.Listener, index int) {
+	go func() {
+		for {
+			nc, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			if err := l.d.register(nc, &socket{d: l.d, to: index}); err != nil {
+				l.d.opts.Logf("transport: %v", err)
+			}
+		}
+	}()
+}
+
+func (d *driver) register(nc net.Conn, s *socket) error {
+	res, err := d.engine.Register(gnet.NewContext(gnet.NewNetConnContext(context.Background(), nc), s))
 	if err != nil {
-		return errors.Join(err, nc.Close()) // it was never used
+		return fmt.Errorf("enrol: %w", errors.Join(err, nc.Close())) // it was never used
 	}
 	return (<-res).Err
 }
 
+// Steer has the kernel give new connections to the first listener to the process that came to listen there at that place,
+// counted from 0, of those that share its address by SO_REUSEPORT. Where there is no such place, it picks as it always does.
+func (l *Loop) Steer(place int) error {
+	fd, err := l.d.engine.DupListener("tcp", l.d.opts.Listen[0])
+	if err != nil {
+		return fmt.Errorf("transport: steer: %w", err)
+	}
+	defer unix.Close(fd) //nolint:errcheck // a copy
+	const giveBack = unix.BPF_RET | unix.BPF_K
+	filter := []unix.SockFilter{{Code: giveBack, K: uint32(place)}}
+	if err := unix.SetsockoptSockFprog(fd, unix.SOL_SOCKET, unix.SO_ATTACH_REUSEPORT_CBPF, &unix.SockFprog{Len: 1, Filter: &filter[0]}); err != nil {
+		return fmt.Errorf("transport: steer: %w", err)
+	}
+	return nil
+}
+
 // Datagrams is part of transport.Driver.
 func (d *driver) Datagrams(addr string) error {
 	var c net.Conn
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -155,6 +155,10 @@
 	return l
 }
 
+// Bound sets anew how many connections are accepted without making room, and how much may wait in all buffers. What is open
+// stays.
+func (l *Loop) Bound(conns, buffers int) { l.hall.most, l.opts.Buffers = conns, buffers }
+
 // Begin has the program behind the loop begin. Calls after the first do nothing.
 func (l *Loop) Begin() {
 	if l.begun {
@@ -465,6 +469,9 @@
 	return func() { d.dropped = true }
 }
 
+// Taken is a link that a driver has opened by itself, for Connected.
+func (l *Loop) Taken(open func(Link) Session) *Dial { return &Dial{loop: l, open: open} }
+
 // Connected takes up a link that has opened. It returns nil where the driver is to close it.
 func (l *Loop) Connected(d *Dial, w Wire) *Conn {
 	l.touch()
