Take up new settings at SIGHUP: classes added, changed and dropped, all or nothing

Ruled out: a late reload, as the file is read within 2 ms of the signal.

A file that lacks a key of the one in force, or has figures that make no sense, is turned down whole.

--- a/control/api.go
+++ b/control/api.go
@@ -78,6 +78,7 @@
 	Effect     Effect
 	Calls      bool    // requests may call below
 	SkipWorth  float64 // share of the worth earned when a call was skipped; 0 forbids SkipCall
+	Retired    bool    // of settings before these: only requests that came under those are of it
 }
 
 // Tenant is one customer of the fleet.
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -31,6 +31,7 @@
 	Stop     micro.Time
 	Memory   int64 // bytes
 	Sockets  int
+	Raw      map[string]any // the JSON file as it was, for Lacks
 	Settings control.Settings
 	Gauges   []string // the pool's gauges, in their order
 	AJP      AJP
@@ -201,8 +202,12 @@
 		}
 		return Config{}, fmt.Errorf("config: RELAY_CONFIG: %w", err)
 	}
+	var raw map[string]any
+	if err := json.Unmarshal(text, &raw); err != nil {
+		return Config{}, fmt.Errorf("config: RELAY_CONFIG: %w", err)
+	}
 	c := Config{
-		Name: orString(getenv("RELAY_NAME"), f.Name), Listen: orString(getenv("RELAY_LISTEN"), f.Listen), Pool: f.Pool, Control: f.Control,
+		Raw: raw, Name: orString(getenv("RELAY_NAME"), f.Name), Listen: orString(getenv("RELAY_LISTEN"), f.Listen), Pool: f.Pool, Control: f.Control,
 		Admin: orString(getenv("RELAY_ADMIN"), f.Admin),
 		Stop:  defaultStopMS * micro.Millisecond, Memory: defaultMemoryMB << 20, Sockets: defaultSockets,
 	}
@@ -273,10 +278,7 @@
 	if c.Settings.Cores <= 0 {
 		return c, fmt.Errorf("config: settings.extra.cores: %d is not over 0", c.Settings.Cores)
 	}
-	if len(c.Settings.Classes) == 0 {
-		return c, errors.New("config: settings.classes: none")
-	}
-	return c, nil
+	return c, checkClasses(c.Settings)
 }
 
 type ajpFile struct {
--- a/internal/edge/admin.go
+++ b/internal/edge/admin.go
@@ -134,11 +134,9 @@
 		Loads      int            `json:"loads"`
 		LoadErrors int            `json:"load_errors"`
 	}{map[string]int{}, map[string]int{}, map[string]int{}, 0, s.core.Open(), s.files.taken, s.files.refused}
-	for i, k := range s.core.Classes() {
-		f := s.core.Figures(i)
-		c.Passed[k.Name] += f.Passed
-		c.Dropped[k.Name] += f.Dropped
-		c.BadGateway[k.Name] += f.Failed
+	for _, name := range s.core.Counted() {
+		f := s.core.Figures(name)
+		c.Passed[name], c.Dropped[name], c.BadGateway[name] = f.Passed, f.Dropped, f.Failed
 		c.Tries += f.Tries
 	}
 	return c, nil
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -3,8 +3,10 @@
 package edge
 
 import (
+	"errors"
 	"fmt"
 	"slices"
+	"strings"
 
 	"pewterline/control"
 	"pewterline/internal/config"
@@ -51,6 +53,8 @@
 	wall     Wall
 	classes  map[string]int
 	tenants  map[string]int
+	settings control.Settings   // as the file has them; cfg's have the places that classes got over time
+	late     map[int]micro.Time // classes that are gone are taken until then, by place
 	pool     *poolLink
 	backends *ajpRunner
 	servers  *fleetRunner
@@ -75,13 +79,9 @@
 func New(cfg config.Config, wall Wall, logf func(string, ...any)) (*Server, error) {
 	s := &Server{
 		cfg: cfg, logf: logf, wall: wall, classes: map[string]int{}, tenants: map[string]int{}, reported: true,
+		settings: cfg.Settings, late: map[int]micro.Time{},
 	}
-	for i, c := range cfg.Settings.Classes {
-		s.classes[c.Name] = i
-	}
-	for i, t := range cfg.Settings.Tenants {
-		s.tenants[t.Name] = i
-	}
+	s.name()
 	var runner routing.Runner
 	if len(cfg.Fleet.Members) > 0 {
 		var err error
@@ -116,15 +116,34 @@
 	}
 }
 
-// Reload takes up a configuration that was read anew while serving: the addresses of the pool and of the control
-// plane, and the time to stop. Runs go on, and the new link is bound with the last notice that was read. What is
-// built into the running program holds until a restart.
+// Reload takes up a configuration that was read anew while serving: the settings, the addresses of the pool and of the
+// control plane, and the time to stop. Runs go on, and the new link is bound with the last notice that was read. What is
+// built into the running program holds until a restart. An error says that nothing has changed.
 func (s *Server) Reload(next config.Config) error {
+	if err := s.reload(next); err != nil {
+		s.files.refused++
+		return err
+	}
+	s.files.taken++
+	return nil
+}
+
+func (s *Server) reload(next config.Config) error {
+	if err := next.Lacks(s.cfg); err != nil {
+		return err
+	}
 	if next.Control != s.cfg.Control {
 		if err := s.loop.Datagrams(next.Control); err != nil {
-			s.files.refused++
 			return fmt.Errorf("control: %w", err)
 		}
+	}
+	if err := s.retune(next); err != nil {
+		if next.Control != s.cfg.Control { // all or nothing
+			err = errors.Join(err, s.loop.Datagrams(s.cfg.Control))
+		}
+		return err
+	}
+	if next.Control != s.cfg.Control {
 		s.cfg.Control, s.nextReport = next.Control, 0 // the new address hears of us at once
 	}
 	if s.pool != nil && next.Pool != s.cfg.Pool {
@@ -137,7 +156,7 @@
 		s.logf("edge: configuration read anew: %d log servers", len(next.Fleet.Members))
 	}
 	s.cfg.Stop = next.Stop
-	s.files.taken++
+	s.cfg.Raw = next.Raw
 	for _, k := range []struct {
 		key     string
 		changed bool
@@ -149,7 +168,7 @@
 			s.logf("edge: configuration read anew: %s holds until a restart", k.key)
 		}
 	}
-	s.logf("edge: configuration read anew: pool %s, control %s", s.cfg.Pool, s.cfg.Control)
+	s.logf("edge: configuration read anew: pool %s, control %s, classes %s", s.cfg.Pool, s.cfg.Control, strings.Join(s.inUse(), " "))
 	return nil
 }
 
@@ -196,6 +215,9 @@
 	if s.handed {
 		next = min(next, s.leaveHanded(now))
 	}
+	if len(s.late) > 0 {
+		next = min(next, s.forgetLate(now))
+	}
 	for _, a := range s.offices.items {
 		next = min(next, a.check(now))
 	}
--- a/internal/routing/figures.go
+++ b/internal/routing/figures.go
@@ -1,6 +1,9 @@
 package routing
 
-import "pewterline/control"
+import (
+	"maps"
+	"slices"
+)
 
 // Figures count what became of the requests of a class since the process started. A request counts once, where it gets its
 // answer; one whose caller left before that counts nowhere.
@@ -11,11 +14,25 @@
 	Tries   int // runs handed to the runner
 }
 
-// Figures are the counts of the class of that number.
-func (c *Core) Figures(class int) Figures { return c.figures[class] }
+// Figures are the counts of the class of that name.
+func (c *Core) Figures(class string) Figures { return *c.byName[class] }
+
+// Counted are the names of all classes that there are or were.
+func (c *Core) Counted() []string { return slices.Sorted(maps.Keys(c.byName)) }
+
+// tally gives each class the counts of its name.
+func (c *Core) tally() {
+	c.figures = nil
+	for _, k := range c.settings.Classes {
+		if c.byName[k.Name] == nil {
+			c.byName[k.Name] = &Figures{}
+		}
+		c.figures = append(c.figures, c.byName[k.Name])
+	}
+}
 
 func (c *Core) count(class int, s Status) {
-	f := &c.figures[class]
+	f := c.figures[class]
 	switch s {
 	case Served:
 		f.Passed++
@@ -28,6 +45,3 @@
 
 // Malformed counts a request of a known class that its front turned down with an error.
 func (c *Core) Malformed(class int) { c.figures[class].Failed++ }
-
-// Classes are the classes by their numbers.
-func (c *Core) Classes() []control.Class { return c.settings.Classes }
--- a/internal/routing/keys.go
+++ b/internal/routing/keys.go
@@ -74,12 +74,12 @@
 
 // check refuses a request whose key is another request's. Guards against an answer with the result of what was
 // never asked for: all tries of one request have its class and body. An entry of an earlier life has no sum.
-func (t *keyTable) check(r *Request) error {
+func (t *keyTable) check(r *Request, classes []control.Class) error {
 	e := t.byName[onceKey{r.Tenant, r.Once}]
 	switch {
 	case e == nil || r.Once == "":
 		return nil
-	case e.class != r.Class:
+	case classes[e.class].Name != classes[r.Class].Name: // its figures may have changed since
 		return fmt.Errorf("once: the key is of a request of another class")
 	case !e.restored && e.sum != maphash.Bytes(t.seed, r.Body):
 		return fmt.Errorf("once: the key is of a request with another body")
--- /dev/null
+++ b/internal/routing/retune.go
@@ -0,0 +1,51 @@
+package routing
+
+import (
+	"fmt"
+
+	"pewterline/control"
+	"pewterline/internal/decide/retune"
+)
+
+// namesMost bounds the counts that are kept of classes that are gone.
+const namesMost = 1000
+
+// Retune takes up other settings while serving. What is open, and the results that are kept, keep their class; what was
+// learned of classes that stay is kept. busy says that a place is held on to outside of the core. It returns the settings
+// as they are now, with the places of all classes and tenants; an error says that nothing has changed.
+func (c *Core) Retune(next control.Settings, busy func(class int) bool) (control.Settings, error) {
+	held := make([]bool, len(c.settings.Classes))
+	for _, r := range c.live {
+		held[r.Class] = true
+	}
+	for _, e := range c.keys.byName {
+		held[e.class] = true
+	}
+	var err error
+	now := c.settings
+	placed := next
+	if placed.Classes, err = retune.Classes(now.Classes, next.Classes, func(i int) bool { return !held[i] && !busy(i) }); err != nil {
+		return now, fmt.Errorf("routing: %w", err)
+	}
+	if placed.Tenants, err = retune.Tenants(now.Tenants, next.Tenants); err != nil {
+		return now, fmt.Errorf("routing: %w", err)
+	}
+	if len(c.byName)+len(next.Classes) > namesMost {
+		return now, fmt.Errorf("routing: settings.classes: over %d names since the start", namesMost)
+	}
+	if placed.Below != control.BelowNone {
+		return now, fmt.Errorf("routing: settings.extra.downstream: calls below are not offered")
+	}
+	if c.begun {
+		err = c.ctl.Retune(placed)
+	} else {
+		_, err = control.New(placed)
+	}
+	if err != nil {
+		return now, fmt.Errorf("routing: settings: %w", err)
+	}
+	placed.Seed, placed.Cold = now.Seed, now.Cold
+	c.settings = placed
+	c.tally()
+	return placed, nil
+}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -131,7 +131,8 @@
 	parked  []*request // wait for the other process, oldest first
 	wakes   []wake
 	gauges  control.Gauges
-	figures []Figures // by class
+	figures []*Figures // by class; those of one name are the same
+	byName  map[string]*Figures
 	drained bool
 	drainAt micro.Time
 
@@ -156,12 +157,14 @@
 	if _, err := control.New(s); err != nil {
 		return nil, fmt.Errorf("routing: settings: %w", err)
 	}
-	return &Core{
+	c := &Core{
 		settings: s, runner: runner, logf: logf, good: true,
 		live: map[control.ID]*request{}, runs: map[string]*request{}, keys: newKeyTable(),
-		gauges:  control.Gauges{Busy: -1, Runnable: -1, Memory: -1, Connections: -1},
-		figures: make([]Figures, len(s.Classes)),
-	}, nil
+		gauges: control.Gauges{Busy: -1, Runnable: -1, Memory: -1, Connections: -1},
+		byName: map[string]*Figures{},
+	}
+	c.tally()
+	return c, nil
 }
 
 // Begin starts the decision module, whose machine has been up for age; cold says that it started cold. Only
@@ -224,7 +227,7 @@
 	if keyed && r.Once == "" {
 		return 0, fmt.Errorf("once: missing in a keyed class")
 	}
-	if err := c.keys.check(&r); err != nil {
+	if err := c.keys.check(&r, c.settings.Classes); err != nil {
 		return 0, err
 	}
 	c.Begin(now, 0, false)
