--- a/cmd/pewterline/upgrade.go
+++ b/cmd/pewterline/upgrade.go
@@ -23,9 +23,10 @@
 )
 
 const (
-	patience = 5 * time.Second        // with a predecessor that lives and does not answer, or has to leave first
-	askAgain = 100 * time.Millisecond // where it had no time for us
-	toldMost = 64 << 20               // bytes that a predecessor may tell: the keys of a window
+	patience  = 5 * time.Second        // with a predecessor that lives and does not answer, or has to leave first
+	askAgain  = 100 * time.Millisecond // where it had no time for us
+	sureConns = 8                      // that a new process takes, however many the old one has
+	toldMost  = 64 << 20               // bytes that a predecessor may tell: the keys of a window
 )
 
 // errOther says that a process lives that this one can't take over from.
@@ -196,16 +197,24 @@
 	return l.Execute(func() { h.Share(h.others) })
 }
 
-// Steer is part of edge.Host.
+// Steer is part of edge.Host. Proxies' and web servers' listeners are steered; operators call each process at its own address.
 func (h *host) Steer(place int) {
-	if l := h.loop.Load(); l == nil {
+	l := h.loop.Load()
+	if l == nil {
 		return // a successor that comes before this process serves shares the port as the kernel picks
-	} else if err := l.Steer(place); err != nil {
-		h.logf("upgrade: %v: the kernel picks between both processes", err)
+	}
+	for i, addr := range []string{h.cfg.Listen, h.cfg.AJP.Listen} {
+		if addr == "" {
+			continue
+		}
+		if err := l.Steer(i, place); err != nil {
+			h.logf("upgrade: %v: the kernel picks between both processes", err)
+		}
 	}
 }
 
-// Share is part of edge.Host. Two processes have the descriptors and the memory of one.
+// Share is part of edge.Host. Two processes have the descriptors and the memory of one: each keeps to half of
+// the places, and the new one to less where the old one has more in use.
 func (h *host) Share(others int) {
 	h.others = others
 	l := h.loop.Load()
@@ -219,7 +228,8 @@
 	case others < 0:
 		l.Bound(h.conns, h.buffers)
 	default:
-		l.Bound(max(h.conns-spareSockets-others, spareSockets), h.buffers/2)
+		both := h.conns - spareSockets
+		l.Bound(max(min(both/2, both-others), sureConns), h.buffers/2)
 	}
 }
 
--- /dev/null
+++ b/control/learned_test.go
@@ -0,0 +1,35 @@
+package control
+
+import (
+	"math"
+	"testing"
+	"time"
+)
+
+// A successor begins with what its predecessor found out; figures that make no sense, as they come from another process, are
+// passed over one by one.
+func TestLearnedGoesAlong(t *testing.T) {
+	s := Settings{Cores: 2, Classes: []Class{{Name: "a", Aim: time.Second, Deadline: 2 * time.Second, Worth: 1}, {Name: "b", Aim: time.Second, Deadline: 2 * time.Second, Worth: 2}}}
+	fresh := func(s Settings) *Controller {
+		c, err := New(s)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return c
+	}
+	old := fresh(s)
+	old.limit, old.alpha, old.usual = 3.5, 0.7, mean{900, 1.4}
+	old.classes[1].slot, old.classes[1].service = mean{500, 0.08}, mean{500, 0.1}
+	s.Classes = append([]Class{{Name: "c", Aim: time.Second, Deadline: 2 * time.Second}}, s.Classes...) // other places
+	next := fresh(s)
+	next.Learn(old.Learned())
+	if next.limit != 3.5 || next.alpha != 0.7 || next.usual != old.usual || next.classes[2].slot != old.classes[1].slot || next.classes[2].service != old.classes[1].service {
+		t.Errorf("learned %+v of %+v", next.Learned(), old.Learned())
+	}
+	before := next.Learned()
+	next.Learn(Learned{Limit: math.NaN(), Alpha: 7, Said: -1, Usual: Mean{-1, 2}, SlotTime: Mean{5, math.Inf(1)},
+		Classes: []LearnedClass{{Name: "b", Slot: Mean{math.NaN(), 1}, Service: Mean{10, -1}}, {Name: "none", Slot: Mean{1, 1}}}})
+	if got := next.Learned(); got.Limit != before.Limit || got.Alpha != before.Alpha || got.Usual != before.Usual || got.SlotTime != before.SlotTime || got.Classes[2] != before.Classes[2] {
+		t.Errorf("took up nonsense: %+v", got)
+	}
+}
--- a/internal/edge/retune.go
+++ b/internal/edge/retune.go
@@ -31,12 +31,10 @@
 	}
 }
 
-// inUse are the names of the classes of the settings in force.
+// inUse are the names of the classes in force, in the file's order.
 func (s *Server) inUse() (names []string) {
-	for _, c := range s.cfg.Settings.Classes {
-		if !c.Retired {
-			names = append(names, c.Name)
-		}
+	for _, c := range s.settings.Classes {
+		names = append(names, c.Name)
 	}
 	return names
 }
--- a/internal/procs/procs.go
+++ b/internal/procs/procs.go
@@ -152,6 +152,9 @@
 	}
 }
 
+// PID is the number of the process.
+func (p *Process) PID() int { return p.cmd.Process.Pid }
+
 // Log is what the process has logged.
 func (p *Process) Log() string { return p.log.String() }
 
--- a/internal/transport/sockets/sockets.go
+++ b/internal/transport/sockets/sockets.go
@@ -349,10 +349,11 @@
 	return (<-res).Err
 }
 
-// Steer has the kernel give new connections to the first listener to the process that came to listen there at that place,
-// counted from 0, of those that share its address by SO_REUSEPORT. Where there is no such place, it picks as it always does.
-func (l *Loop) Steer(place int) error {
-	fd, err := l.d.engine.DupListener("tcp", l.d.opts.Listen[0])
+// Steer has the kernel give new connections to the listener of that index to the process that came to listen there at that
+// place, counted from 0, of those that share its address by SO_REUSEPORT. Where there is no such place, it picks as it always
+// does.
+func (l *Loop) Steer(index, place int) error {
+	fd, err := l.d.engine.DupListener("tcp", l.d.opts.Listen[index])
 	if err != nil {
 		return fmt.Errorf("transport: steer: %w", err)
 	}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -155,9 +155,13 @@
 	return l
 }
 
-// Bound sets anew how many connections are accepted without making room, and how much may wait in all buffers. What is open
-// stays.
-func (l *Loop) Bound(conns, buffers int) { l.hall.most, l.opts.Buffers = conns, buffers }
+// Bound sets anew how many connections are accepted without making room, and how much may wait in all buffers. Strangers and
+// idle connections beyond that are closed now; what is in use stays.
+func (l *Loop) Bound(conns, buffers int) {
+	l.hall.most, l.opts.Buffers = conns, buffers
+	for len(l.hall.conns) > conns && l.makeRoom(&l.hall) {
+	}
+}
 
 // Begin has the program behind the loop begin. Calls after the first do nothing.
 func (l *Loop) Begin() {
