Name meeting paths apart, and pass over keys of unknown tenants in an upgrade

Found by reading, each with what it would have done: a process number that comes again would have had the old process take away its successor's path at its end; a key of a tenant that this process does not have was taken for the first tenant's; a result over a frame's bound would have broken the link.

--- a/cmd/pewterline/upgrade.go
+++ b/cmd/pewterline/upgrade.go
@@ -32,20 +32,20 @@
 // errOther says that a process lives that this one can't take over from.
 var errOther = errors.New("upgrade: a process of this name lives that cannot be taken over from")
 
-// meeting is the stem of the paths where processes of a log server wait for a successor, each under its own number.
+// meeting is the stem of the paths where processes of a log server wait for a successor, each under a name of its own: numbers
+// of processes come again, and one that ends takes away the path it made.
 func meeting(dir, name string) string {
 	return filepath.Join(dir, fmt.Sprintf("pewterline-%08x-", uint32(xxhash.Sum64String(name))))
 }
 
 // meetingPoint listens where this process waits for a successor; nil where it does not: without an address for operators
-// nobody could ask a successor whether it is ready. What a dead process left under the same number is replaced. Where Unix
-// sockets are refused, the process serves without one.
+// nobody could ask a successor whether it is ready. Where Unix sockets are refused, the process
+// serves without one.
 func meetingPoint(dir string, cfg config.Config, logf func(string, ...any)) net.Listener {
 	if cfg.Admin == "" {
 		return nil
 	}
-	path := meeting(dir, cfg.Name) + strconv.Itoa(os.Getpid())
-	_ = os.Remove(path)
+	path := meeting(dir, cfg.Name) + strconv.FormatInt(time.Now().UnixNano(), 36)
 	ln, err := net.Listen("unix", path)
 	if err != nil {
 		logf("upgrade: %v: this process can't be taken over from", err)
--- a/cmd/pewterline/upgrade_test.go
+++ b/cmd/pewterline/upgrade_test.go
@@ -202,7 +202,7 @@
 	require.NoError(t, err)
 	require.Error(t, faulty.Wait())
 	works("k1")
-	hung, err := net.Dial("unix", meeting(w.Dir, "n0")+strconv.Itoa(pid(t, w.Dir))) // says nothing
+	hung, err := net.Dial("unix", waitsAt(t, w.Dir)) // says nothing
 	require.NoError(t, err)
 	defer hung.Close()
 	works("k2")
@@ -382,14 +382,12 @@
 
 func (l *logged) String() string { return l.p.Log() }
 
-// pid is the number of the process that waits for a successor.
-func pid(t *testing.T, dir string) int {
+// waitsAt is the path where a process waits for a successor.
+func waitsAt(t *testing.T, dir string) string {
 	paths, err := filepath.Glob(meeting(dir, "n0") + "*")
 	require.NoError(t, err)
 	require.Len(t, paths, 1)
-	n, err := strconv.Atoi(strings.TrimPrefix(paths[0], meeting(dir, "n0")))
-	require.NoError(t, err)
-	return n
+	return paths[0]
 }
 
 // Guards callers against being turned back unheard: under load, on kept connections and on new ones, upgrade after upgrade,
--- a/internal/edge/handover.go
+++ b/internal/edge/handover.go
@@ -137,11 +137,14 @@
 		}
 		return k.greet(m)
 	}
-	in := routing.Intake{Tenant: s.tenants[m.Tenant], Once: m.Once, At: s.wall.FromUnixMilli(m.AtMS), Result: m.Result}
-	class, known := s.classes[m.Class]
-	in.Class = class
-	if m.Kind >= upgrade.Claim && !known {
-		return nil // of settings that this process does not have: no try of it can come here
+	in := routing.Intake{Once: m.Once, At: s.wall.FromUnixMilli(m.AtMS), Result: m.Result}
+	if m.Kind >= upgrade.Claim {
+		var class, tenant bool
+		in.Class, class = s.classes[m.Class]
+		in.Tenant, tenant = s.tenants[m.Tenant]
+		if !class || !tenant && len(s.tenants) > 0 {
+			return nil // of settings that this process does not have: no try of it can come here
+		}
 	}
 	switch m.Kind {
 	case upgrade.Welcome:
@@ -260,7 +263,8 @@
 
 // Ended is part of routing.Other.
 func (k *kin) Ended(in routing.Intake, end routing.End) {
-	if end == routing.Passed {
+	// A result that no message holds has run all the same: the other process must not run it, and can't serve it.
+	if end == routing.Passed && len(in.Result) <= upgrade.MaxResult {
 		k.key(upgrade.Passed, in)
 		return
 	}
--- a/internal/protocol/upgrade/upgrade.go
+++ b/internal/protocol/upgrade/upgrade.go
@@ -18,11 +18,14 @@
 // Preamble comes first in both directions.
 var Preamble = [6]byte{'p', 'w', 't', 'u', 0, Version}
 
-// MaxFrame bounds a message, in bytes: a result of the protocol's 4 KiB with its names, or what was learned.
-const MaxFrame = 64 << 10
+// The bounds of a message and of a result in it, in bytes. The platform's results have 4 KiB at most.
+const (
+	MaxFrame  = 64 << 10
+	MaxResult = MaxFrame - 4<<10
+)
 
-// Chunk is how many keys are told before the successor has to ask for more. With the largest results they stay below what a
-// connection may leave unread.
+// Chunk is how many keys are told before the successor has to ask for more. With the platform's largest results they stay
+// below what a connection may leave unread.
 const Chunk = 32
 
 // The errors; both say that the connection is past help.
