Give up a successor that hangs while it is told; test both sides of a hand-over alone

Found by reading: a successor that said hello and then stood still kept the one place for a successor, and half of the limits, for as long as it lived. It is given up after 6 s, the time in which it was due to be ready (TestSuccessorsThatAreNone fails without it). The old and the new side are now played on the tests' clock as well.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -206,11 +206,7 @@
 		next = min(next, s.nextReport)
 	}
 	if s.kin != nil && s.kin.successor {
-		if now >= s.kin.next {
-			s.kin.next = now + connsEvery
-			s.kin.conns()
-		}
-		next = min(next, s.kin.next)
+		next = min(next, s.kin.check(now))
 	}
 	if s.handed {
 		next = min(next, s.leaveHanded(now))
--- a/internal/edge/handover.go
+++ b/internal/edge/handover.go
@@ -21,6 +21,8 @@
 	// What was in the listener's queue at the hand-over is read within this, and what crosses a farewell.
 	handLinger = 200 * micro.Millisecond
 	connsEvery = 100 * micro.Millisecond
+	// A successor is ready within 6 s or given up by its operators: one that has not heard all keys by then has hung.
+	hearMost = 6 * micro.Second
 )
 
 // Host is what a hand-over needs of the process. Its methods are called on the loop.
@@ -47,6 +49,7 @@
 	synced    bool
 	yours     bool // ownership has passed
 	told      int  // connections, last
+	since     micro.Time
 	next      micro.Time
 	out       []byte
 }
@@ -198,7 +201,7 @@
 		k.conn.Close()
 		return nil
 	}
-	s.kin = k
+	s.kin, k.since = k, s.loop.Now()
 	s.logf("edge: a successor has come")
 	s.host.Steer(0)
 	s.host.Share(0) // it gets no connections yet
@@ -229,6 +232,21 @@
 	k.send(upgrade.Message{Kind: upgrade.Synced})
 }
 
+// check does what is due; it returns when to look again. Guards the next upgrade against a successor that hangs while it is
+// told: it would keep its place for as long as it lives.
+func (k *kin) check(now micro.Time) micro.Time {
+	if !k.synced && now >= k.since+hearMost {
+		k.s.logf("edge: the successor has not heard all keys within %v", hearMost.Duration())
+		k.conn.Close()
+		return micro.Never
+	}
+	if now >= k.next {
+		k.next = now + connsEvery
+		k.conns()
+	}
+	return k.next
+}
+
 // conns tells the successor how many connections are open, so that both keep to one limit.
 func (k *kin) conns() {
 	n := k.s.fronts.len() + k.s.offices.len()
--- a/internal/edge/play_test.go
+++ b/internal/edge/play_test.go
@@ -147,6 +147,12 @@
 	return l
 }
 
+// adopt makes a link that was opened elsewhere one of the stage's.
+func (s *stage) adopt(l *fakeLink) {
+	s.links[l.name] = l
+	s.order = append(s.order, l.name)
+}
+
 func (s *stage) deliver(l *fakeLink, p []byte) {
 	l.in = append(l.in, p...)
 	n, err := l.session.Receive(l.in)
