--- a/cmd/pewterlab/main.go
+++ b/cmd/pewterlab/main.go
@@ -36,6 +36,7 @@
 	Shrink  shrinkCmd  `cmd:"" help:"Make a failing script smaller until nothing can be left out."`
 	Routes  routesCmd  `cmd:"" help:"Compare ways to choose a server under a trouble."`
 	Learn   learnCmd   `cmd:"" help:"Measure what advice is worth to a fresh instance."`
+	Procs   procsCmd   `cmd:"" help:"Play real processes of the program, which upgrade and die under load."`
 	Planted plantedCmd `cmd:"" help:"Show that the hunt finds bugs planted on purpose (needs a build with -tags planted)."`
 }
 
--- a/internal/procs/pool.go
+++ b/internal/procs/pool.go
@@ -2,42 +2,60 @@
 
 import (
 	"fmt"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
 	"pewterline/internal/protocol/pool"
 )
 
+// Ran is one run.
+type Ran struct {
+	ID string
+	By *Pool
+	At time.Time
+}
+
 // Ledger is what was run, by all worker pools of a log server.
 type Ledger struct {
 	mu   sync.Mutex
-	runs map[string][]string // IDs that were run, by body
+	runs map[string][]Ran // by body
 }
 
 // NewLedger returns an empty one.
-func NewLedger() *Ledger { return &Ledger{runs: map[string][]string{}} }
+func NewLedger() *Ledger { return &Ledger{runs: map[string][]Ran{}} }
 
-func (l *Ledger) ran(body, id string) {
+func (l *Ledger) ran(body, id string, by *Pool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.runs[body] = append(l.runs[body], id)
+	l.runs[body] = append(l.runs[body], Ran{id, by, time.Now()})
 }
 
-// Runs are the IDs that ran with a body.
-func (l *Ledger) Runs(body string) []string {
+// Runs are the runs with a body.
+func (l *Ledger) Runs(body string) []Ran {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return append([]string(nil), l.runs[body]...)
+	return slices.Clone(l.runs[body])
 }
 
-// Twice are the bodies that ran more than once.
-func (l *Ledger) Twice() (out []string) {
+// before are the runs with a body that began before a time.
+func (l *Ledger) before(body string, at time.Time) []Ran {
+	return slices.DeleteFunc(l.Runs(body), func(r Ran) bool { return !r.At.Before(at) })
+}
+
+func (l *Ledger) all() map[string][]Ran {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for body, ids := range l.runs {
-		if len(ids) > 1 {
-			out = append(out, fmt.Sprintf("%s by %v", body, ids))
+	return maps.Clone(l.runs)
+}
+
+// Twice are the bodies that ran more than once.
+func (l *Ledger) Twice() (out []string) {
+	for body, runs := range l.all() {
+		if len(runs) > 1 {
+			out = append(out, fmt.Sprintf("%s: %v", body, runs))
 		}
 	}
 	return out
@@ -165,7 +183,7 @@
 			_, _ = fmt.Fprintf(c, "polled %s 0.1 0 0.1 1\r\n", k.Tag)
 		case pool.Spawn:
 			body := string(k.Body)
-			p.ledger.ran(body, k.ID)
+			p.ledger.ran(body, k.ID, p)
 			select {
 			case p.started <- body:
 			default: // nobody waits for so many
