--- a/internal/procs/play.go
+++ b/internal/procs/play.go
@@ -24,7 +24,8 @@
 //	kill node=s0|s1 for=     SIGKILL of the oldest or the youngest process; where none is left, one starts after a while
 //	pause node=s0|s1 for=    SIGSTOP, and SIGCONT after a while
 //	hup node=s0              the class grape-count comes or goes in the file, and all processes are told
-//	stall, dark, half, lag, thin, cut node=s0 peer=w0   on the links to the worker pool, of all processes
+//	stall, lag, thin node=s0 peer=w0    on the links to the worker pool, of all processes
+//	dark, cut node=s0 peer=w0           the same, of what the node sends; or node=w0 peer=s0
 
 // Options say how a script is played.
 type Options struct {
--- a/internal/procs/relay.go
+++ b/internal/procs/relay.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net"
+	"strings"
 	"sync"
 	"time"
 
@@ -201,21 +202,27 @@
 	}
 }
 
+// from is the direction that a fault's node sends in: a worker pool does not connect, it is connected to.
+func from(f faults.Fault) Direction {
+	if strings.HasPrefix(f.Node, "w") {
+		return Back
+	}
+	return There
+}
+
 // Do has a fault of a script happen, and returns how it ends; nil where it ends by itself. Kinds that are no relay's are an error.
 func (r *Relay) Do(f faults.Fault) (heal func(), err error) {
 	switch f.Kind {
 	case faults.Stall:
 		r.Hold(There, Back)
-	case faults.Dark:
-		r.Drop(There, Back)
-	case faults.Half:
-		r.Drop(There)
+	case faults.Dark: // one way: what the node sends is lost
+		r.Drop(from(f))
 	case faults.Lag:
 		r.Lag(time.Duration(f.Amount*float64(time.Millisecond)), There, Back)
 	case faults.Thin:
 		r.Thin(int(f.Amount), There, Back)
 	case faults.Cut:
-		r.Cut(int(f.Amount), There)
+		r.Cut(int(f.Amount), from(f))
 		return nil, nil
 	default:
 		return nil, &faults.Error{Field: "kind", Why: string(f.Kind) + " is no fault of a relay"}
@@ -226,9 +233,12 @@
 // Draw is a script of faults for a relay between two nodes, from a seed: what a hunt plays.
 func Draw(seed uint64, n int, within time.Duration, node, peer string) (out []faults.Fault) {
 	rng := rand.New(rand.NewPCG(seed, 0))
-	kinds := []faults.Kind{faults.Stall, faults.Dark, faults.Half, faults.Lag, faults.Thin, faults.Cut}
+	kinds := []faults.Kind{faults.Stall, faults.Dark, faults.Lag, faults.Thin, faults.Cut}
 	for range n {
 		f := faults.Fault{Kind: kinds[rng.IntN(len(kinds))], Node: node, Peer: peer}
+		if rng.IntN(2) == 0 {
+			f.Node, f.Peer = peer, node
+		}
 		f.At, f.For = micro.Of(time.Duration(rng.Int64N(int64(within)))), micro.Of(time.Duration(rng.Int64N(int64(within/4))))
 		switch f.Kind {
 		case faults.Lag:
