--- a/internal/procs/play.go
+++ b/internal/procs/play.go
@@ -153,6 +153,10 @@
 	if err := json.Unmarshal(p.opts.Settings, &set); err != nil {
 		panic(err) // the caller's own
 	}
+	// Keys fill the module's memory long before a script is over, and what is refused is never run twice.
+	if extra, ok := set["extra"].(map[string]any); ok {
+		extra["memory_kb"] = 16e6
+	}
 	if p.grape {
 		set["classes"] = append(set["classes"].([]any), map[string]any{"name": "grape-count", "aim_ms": 900, "hard_limit_ms": 2000, "worth": 3, "effect": "free"})
 	}
