Put an intake on record before it runs, so that a killed process's are not run again

Cause: the store of record held results alone; a process killed between a run and its record left nothing, and the next life ran the intake again (README, 'What remains'). Ruled out that kept scripts cover it: no rule looked at runs without an answer.

Change: routing.Recorder has Intend and Void; Core.launch waits for the intent; an intent without a result is a key in doubt at the next start (store.go: table intents). A try that runs in another's place is recorded with its own time (routing.go, passOn).

--- a/internal/edge/record.go
+++ b/internal/edge/record.go
@@ -28,16 +28,22 @@
 	if err != nil {
 		return fmt.Errorf("edge: %w", err)
 	}
+	open := 0
 	for _, r := range records {
 		class, known := s.classes[r.Class]
 		if !known {
 			continue // of settings that have changed since
 		}
-		s.core.Restore(routing.Intake{Class: class, Tenant: s.tenants[r.Tenant], Once: r.Once,
-			At: s.wall.FromUnixMilli(r.AtMilli), Result: r.Result})
+		in := routing.Intake{Class: class, Tenant: s.tenants[r.Tenant], Once: r.Once, At: s.wall.FromUnixMilli(r.AtMilli), Result: r.Result}
+		if r.Intent {
+			open++
+			s.core.RestoreIntent(in)
+		} else {
+			s.core.Restore(in)
+		}
 	}
 	s.core.UseRecorder(&recorder{s, st})
-	s.logf("edge: %d intakes restored", len(records))
+	s.logf("edge: %d intakes restored, of %d it is not known whether they ran", len(records), open)
 	return nil
 }
 
@@ -47,15 +53,37 @@
 	st Records
 }
 
-// Record is part of routing.Recorder.
-func (r *recorder) Record(in routing.Intake, done func(error)) {
+func (r *recorder) record(in routing.Intake) store.Record {
 	rec := store.Record{Class: r.s.cfg.Settings.Classes[in.Class].Name, Once: in.Once,
 		AtMilli: r.s.wall.UnixMilli(in.At), Result: in.Result}
 	if in.Tenant < len(r.s.cfg.Settings.Tenants) {
 		rec.Tenant = r.s.cfg.Settings.Tenants[in.Tenant].Name
 	}
+	return rec
+}
+
+func (r *recorder) write(rec store.Record, done func(error)) {
 	r.st.Record(rec, func(err error) {
 		// Once the loop has ended there is nobody left to answer.
 		_ = r.s.loop.Execute(func() { done(err) })
 	})
 }
+
+// Record is part of routing.Recorder.
+func (r *recorder) Record(in routing.Intake, done func(error)) { r.write(r.record(in), done) }
+
+// Intend is part of routing.Recorder.
+func (r *recorder) Intend(in routing.Intake, done func(error)) {
+	rec := r.record(in)
+	rec.Intent, rec.Result = true, nil
+	r.write(rec, done)
+}
+
+// Void is part of routing.Recorder. Where it is lost, a repeat after a restart fails for no reason but that nobody knows.
+func (r *recorder) Void(in routing.Intake) {
+	r.write(r.record(in).Void(), func(err error) {
+		if err != nil {
+			r.s.logf("edge: an intent of %q that came to nothing stays on record: %v", in.Once, err)
+		}
+	})
+}
--- a/internal/procs/procs.go
+++ b/internal/procs/procs.go
@@ -41,6 +41,7 @@
 	Settings json.RawMessage
 	StopMS   int
 	MemoryMB int
+	Store    string // the file that names a store of record; "": none
 	Ledger   *Ledger
 	mu       sync.Mutex
 	all      []*Process
@@ -104,7 +105,7 @@
 		return nil, err
 	}
 	p.cmd = exec.Command(s.Program)
-	p.cmd.Env = append(os.Environ(), "TMPDIR="+s.Dir, "RELAY_CONFIG="+p.Config, "RELAY_NAME=", "RELAY_LISTEN=", "RELAY_ADMIN=", "RELAY_AJP=", "RELAY_STORE=", "RELAY_FLEET=")
+	p.cmd.Env = append(os.Environ(), "TMPDIR="+s.Dir, "RELAY_CONFIG="+p.Config, "RELAY_NAME=", "RELAY_LISTEN=", "RELAY_ADMIN=", "RELAY_AJP=", "RELAY_STORE="+s.Store, "RELAY_FLEET=")
 	p.cmd.Dir = s.Dir
 	p.cmd.Stderr = &p.log
 	if err := p.cmd.Start(); err != nil {
--- a/internal/routing/record_test.go
+++ b/internal/routing/record_test.go
@@ -19,12 +19,24 @@
 	started  []string
 	recorded []Intake
 	done     []func(error)
+	intended []Intake
+	voided   []string
+	begin    []func(error)
+	hold     bool // intents are not durable before the test says so
 	n        int
 }
 
-func (b *bench) Start(r Run) { b.started = append(b.started, r.ID) }
-func (b *bench) Stop(string) {}
-func (b *bench) Poll()       {}
+func (b *bench) Start(r Run)    { b.started = append(b.started, r.ID) }
+func (b *bench) Stop(string)    {}
+func (b *bench) Poll()          {}
+func (b *bench) Void(in Intake) { b.voided = append(b.voided, in.Once) }
+func (b *bench) Intend(in Intake, f func(error)) {
+	if b.intended = append(b.intended, in); b.hold {
+		b.begin = append(b.begin, f)
+		return
+	}
+	f(nil)
+}
 func (b *bench) Record(in Intake, f func(error)) {
 	b.recorded, b.done = append(b.recorded, in), append(b.done, f)
 }
@@ -32,7 +44,7 @@
 func newBench(t *testing.T) *bench {
 	b := &bench{t: t, now: 100 * micro.Second}
 	var err error
-	b.core, err = New(control.Settings{Cores: 2, Classes: []control.Class{
+	b.core, err = New(control.Settings{Cores: 2, MaxRetryAfter: time.Second, Classes: []control.Class{
 		{Name: "view", Aim: time.Second, Deadline: 4 * time.Second, Worth: 1},
 		{Name: "intake", Aim: time.Second, Deadline: 4 * time.Second, Worth: 10, Effect: control.Keyed, Window: 13 * time.Second},
 	}}, b, t.Logf)
@@ -119,3 +131,52 @@
 	require.Equal(t, Served, late.got[0].Status)
 	require.Len(t, b.started, 2)
 }
+
+// Guards an intake against a second run by a later life: none starts before it is on record that it may run, what can't be
+// put on record is turned away and has not run, and one that nobody waits for any more does not start late.
+func TestIntentBeforeRun(t *testing.T) {
+	b := newBench(t)
+	b.core.UseRecorder(b)
+	b.hold = true
+	first, _ := b.try("k1")
+	require.Len(t, b.intended, 1)
+	require.Empty(t, b.started, "started before it is on record")
+	b.begin[0](nil)
+	require.Len(t, b.started, 1)
+	second, _ := b.try("k2")
+	b.begin[1](errors.New("disk full"))
+	b.step()
+	require.Equal(t, Refused, second.got[0].Status)
+	require.Positive(t, second.got[0].After, "with when to come back")
+	require.Equal(t, []string{"k2"}, b.voided)
+	require.Len(t, b.started, 1)
+	again, _ := b.try("k2")
+	b.begin[2](nil)
+	require.Len(t, b.started, 2, "it had not run: a repeat may")
+	b.core.Finished(b.started[1], Passed, []byte("two"))
+	b.done[0](nil)
+	b.step()
+	require.Equal(t, Served, again.got[0].Status)
+	late, _ := b.try("k3")
+	b.now += 5 * micro.Second
+	b.step()
+	require.NotEmpty(t, late.got, "past its deadline")
+	b.begin[3](nil)
+	b.step()
+	require.Len(t, b.started, 2)
+	require.Equal(t, []string{"k2", "k3"}, b.voided)
+	require.NotEmpty(t, first.got)
+}
+
+// A later life fails what the one before was about to run, until its window is over: it is neither run nor refused.
+func TestIntentOfAnEarlierLife(t *testing.T) {
+	b := newBench(t)
+	b.core.UseRecorder(b)
+	b.core.RestoreIntent(Intake{Class: 1, Once: "k1", At: b.now - 5*micro.Second})
+	repeat, _ := b.try("k1")
+	require.Equal(t, []Answer{notKnown}, repeat.got)
+	require.Empty(t, b.started)
+	b.now += 9 * micro.Second
+	_, _ = b.try("k1")
+	require.Len(t, b.started, 1, "its window is over")
+}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -389,7 +389,7 @@
 	if r.key != nil && c.other != nil && c.role == handover.Owner {
 		c.other.Began(r.key.intake()) // before it begins: what the other knows outlives this process
 	}
-	c.start(r)
+	c.launch(r)
 }
 
 // start hands a try to the runner. Its end is of use as long as a repeat could come for it.
@@ -470,6 +470,9 @@
 	case end == Unneeded || end == Rejected || end == Refusal:
 		if !c.passOn(r, end) {
 			c.keys.unrun(k) // nothing ran: a later try may
+			if c.recorder != nil {
+				c.recorder.Void(k.intake())
+			}
 			c.conclude(k, r, end, nil)
 		}
 	case end == Passed && c.recorder != nil:
@@ -520,12 +523,13 @@
 	w := r.key.waiters[i]
 	r.key.waiters[0], r.key.waiters[i] = w, r.key.waiters[0]
 	r.key.expires += max(w.At-r.At, 0) // the window counts from the try that runs
+	r.key.at = max(r.key.at, w.At)
 	c.answer(r, Answer{Status: Failed, Reason: "the run was not started"})
 	delete(c.runs, r.RunID)
 	r.RunID, r.Body = w.RunID, w.Body
 	// The waiter stays joined and is answered with the run; its RunID now leads to the run.
 	c.runs[r.RunID] = r
-	c.start(r)
+	c.launch(r)
 	return true
 }
 
--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -98,6 +98,7 @@
 	made    map[string]bool        // results of all runs anywhere
 	ran     map[string][]globalRun // by once-key, at any server
 	stored  map[string]*run        // by server and once-key: intakes answered as served, in any life
+	begun   map[string]*run        // by server and once-key: intakes that reached the worker pool, in any life
 }
 
 type fault struct {
@@ -220,7 +221,7 @@
 // New returns an observer of a world. Its Tap is for the network.
 func New(w *virtual.World, r Rules) *Observer {
 	o := &Observer{Rules: r, Most: 5, w: w, classes: map[string]int{}, servers: map[string]*server{}, conns: map[uint64]*conn{},
-		Answers: map[string]int{}, Seen: map[string]int{}, stored: map[string]*run{}, made: map[string]bool{}, ran: map[string][]globalRun{}, reached: map[search.Situation]struct{}{}}
+		Answers: map[string]int{}, Seen: map[string]int{}, stored: map[string]*run{}, begun: map[string]*run{}, made: map[string]bool{}, ran: map[string][]globalRun{}, reached: map[search.Situation]struct{}{}}
 	for i, c := range r.Settings.Classes {
 		o.classes[c.Name] = i
 	}
@@ -831,6 +832,11 @@
 		if prev := o.stored[s.name+"/"+r.once]; prev != nil && len(s.keys[r.once].runs) == 0 && r.at < prev.at+o.window(r) {
 			o.report("duplicate", s, r, "run again though it is on record: as %s and as %s", prev.id, m.ID)
 		}
+		// With a store of record, a life knows what the one before it had begun, whether or not that came to an end.
+		if prev := o.begun[s.name+"/"+r.once]; o.Rules.Store && prev != nil && prev.made && len(s.keys[r.once].runs) == 0 && r.at < prev.at+o.window(r) {
+			o.report("duplicate", s, r, "run again by a later life: as %s and as %s", prev.id, m.ID)
+		}
+		o.begun[s.name+"/"+r.once] = u
 		s.keys[r.once].runs = append(s.keys[r.once].runs, u)
 		// No intake runs on two servers within its window, as long as the edge that has it lives.
 		for _, g := range o.ran[r.once] {
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"cmp"
 	"errors"
 	"slices"
 
@@ -35,10 +36,14 @@
 func (s *Store) Load(sinceMilli int64) ([]store.Record, error) {
 	var out []store.Record
 	for _, r := range s.rows {
-		if r.AtMilli >= sinceMilli {
+		settled := r.Intent && slices.ContainsFunc(s.rows, func(o store.Record) bool {
+			return !o.Intent && o.Class == r.Class && o.Tenant == r.Tenant && o.Once == r.Once && o.AtMilli >= r.AtMilli
+		})
+		if r.AtMilli >= sinceMilli && !settled {
 			out = append(out, r)
 		}
 	}
+	slices.SortStableFunc(out, func(a, b store.Record) int { return cmp.Compare(a.AtMilli, b.AtMilli) })
 	return out, nil
 }
 
@@ -66,7 +71,7 @@
 
 func (s *Store) put(r store.Record) {
 	for i, o := range s.rows {
-		if o.Class == r.Class && o.Tenant == r.Tenant && o.Once == r.Once {
+		if o.Intent == r.Intent && o.Class == r.Class && o.Tenant == r.Tenant && o.Once == r.Once {
 			s.rows[i] = r
 			return
 		}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -3,10 +3,12 @@
 package store
 
 import (
+	"cmp"
 	"context"
 	"database/sql"
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -31,11 +33,18 @@
 // ErrClosed says that the store has been closed.
 var ErrClosed = errors.New("store: closed")
 
-// Record is one intake that ran.
+// Record is one intake that ran, or is about to.
 type Record struct {
 	Class, Tenant, Once string
 	AtMilli             int64 // when the try that ran came, in Unix milliseconds
 	Result              []byte
+	Intent              bool // it may run from now on; there is no result yet
+}
+
+// Void is an intent that came to nothing: it never ran.
+func (r Record) Void() Record {
+	r.Intent, r.AtMilli = true, 0 // before any window
+	return r
 }
 
 // Store writes records of one server, in the order they come.
@@ -44,7 +53,9 @@
 	server  string
 	timeout time.Duration
 	insert  string
+	intend  string
 	sel     string
+	open    string // intents
 	queue   chan job
 	closing chan struct{}
 	done    chan struct{}
@@ -59,7 +70,12 @@
  server TEXT NOT NULL, class TEXT NOT NULL, tenant TEXT NOT NULL, once TEXT NOT NULL,
  at_ms BIGINT NOT NULL, result %s NOT NULL, PRIMARY KEY (server, class, tenant, once))`
 
-// Open connects to the database and makes its table where there is none. The store must be there at the start:
+// An intent is older than its result, or as old; one that is younger was not settled. Void ones are of the time 0.
+const intents = `CREATE TABLE IF NOT EXISTS intents (
+ server TEXT NOT NULL, class TEXT NOT NULL, tenant TEXT NOT NULL, once TEXT NOT NULL,
+ at_ms BIGINT NOT NULL, PRIMARY KEY (server, class, tenant, once))`
+
+// Open connects to the database and makes its tables where there are none. The store must be there at the start:
 // without it, what has run would not be known.
 func Open(driver, dsn, server string, timeout time.Duration) (*Store, error) {
 	s := &Store{server: server, timeout: timeout, queue: make(chan job, queueLen),
@@ -87,6 +103,9 @@
 	s.insert = fmt.Sprintf(`INSERT INTO intakes (server, class, tenant, once, at_ms, result)
  VALUES (%s, %s, %s, %s, %s, %s) ON CONFLICT (server, class, tenant, once)
  DO UPDATE SET at_ms = excluded.at_ms, result = excluded.result`, p...)
+	s.intend = fmt.Sprintf(`INSERT INTO intents (server, class, tenant, once, at_ms)
+ VALUES (%s, %s, %s, %s, %s) ON CONFLICT (server, class, tenant, once) DO UPDATE SET at_ms = excluded.at_ms`, p[:5]...)
+	s.open = fmt.Sprintf("SELECT class, tenant, once, at_ms FROM intents WHERE server = %s AND at_ms >= %s ORDER BY at_ms", p[:2]...)
 	s.sel = fmt.Sprintf("SELECT class, tenant, once, at_ms, result FROM intakes WHERE server = %s AND at_ms >= %s ORDER BY at_ms", p[:2]...)
 	var err error
 	if s.db, err = sql.Open(name, dsn); err != nil {
@@ -95,29 +114,56 @@
 	s.db.SetMaxOpenConns(1)
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	if _, err = s.db.ExecContext(ctx, fmt.Sprintf(schema, blob)); err != nil {
-		return nil, errors.Join(fmt.Errorf("store: table: %w", err), s.db.Close())
+	for _, table := range []string{fmt.Sprintf(schema, blob), intents} {
+		if _, err = s.db.ExecContext(ctx, table); err != nil {
+			return nil, errors.Join(fmt.Errorf("store: table: %w", err), s.db.Close())
+		}
 	}
 	go s.work()
 	return s, nil
 }
 
-// Load reads the intakes since a time in Unix milliseconds, oldest first.
+// Load reads the intakes since a time in Unix milliseconds, oldest first, and those among them that were to run and have no
+// result: they may have run.
 func (s *Store) Load(sinceMilli int64) ([]Record, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), s.timeout)
 	defer cancel()
-	rows, err := s.db.QueryContext(ctx, s.sel, s.server, sinceMilli)
+	out, err := s.query(ctx, s.sel, sinceMilli, false)
+	if err != nil {
+		return nil, err
+	}
+	type name struct{ class, tenant, once string }
+	settled := map[name]int64{}
+	for _, r := range out {
+		settled[name{r.Class, r.Tenant, r.Once}] = r.AtMilli
+	}
+	open, err := s.query(ctx, s.open, sinceMilli, true)
+	for _, r := range open {
+		if at, ok := settled[name{r.Class, r.Tenant, r.Once}]; !ok || at < r.AtMilli {
+			out = append(out, r)
+		}
+	}
+	slices.SortStableFunc(out, func(a, b Record) int { return cmp.Compare(a.AtMilli, b.AtMilli) })
+	return out, err
+}
+
+func (s *Store) query(ctx context.Context, text string, sinceMilli int64, intent bool) ([]Record, error) {
+	rows, err := s.db.QueryContext(ctx, text, s.server, sinceMilli)
 	if err != nil {
 		return nil, fmt.Errorf("store: load: %w", err)
 	}
 	defer rows.Close() //nolint:errcheck // rows.Err tells
 	var out []Record
 	for rows.Next() {
-		var r Record
-		if err := rows.Scan(&r.Class, &r.Tenant, &r.Once, &r.AtMilli, &r.Result); err != nil {
+		r := Record{Intent: intent}
+		to := []any{&r.Class, &r.Tenant, &r.Once, &r.AtMilli}
+		if !intent {
+			to = append(to, &r.Result)
+		}
+		if err := rows.Scan(to...); err != nil {
 			return nil, fmt.Errorf("store: load: %w", err)
 		}
-		if r.Result == nil {
+		if r.Result == nil && !intent {
 			r.Result = []byte{} // drivers differ over an empty one
 		}
 		out = append(out, r)
@@ -202,7 +248,11 @@
 		if r.Result == nil {
 			r.Result = []byte{}
 		}
-		if _, err := tx.ExecContext(ctx, s.insert, s.server, r.Class, r.Tenant, r.Once, r.AtMilli, r.Result); err != nil {
+		text, args := s.insert, []any{s.server, r.Class, r.Tenant, r.Once, r.AtMilli, r.Result}
+		if r.Intent {
+			text, args = s.intend, args[:5]
+		}
+		if _, err := tx.ExecContext(ctx, text, args...); err != nil {
 			return errors.Join(fmt.Errorf("store: insert: %w", err), tx.Rollback())
 		}
 	}
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -27,10 +27,14 @@
 func roundTrip(t *testing.T, driver, dsn string) {
 	s, err := Open(driver, dsn, "n0", patience)
 	require.NoError(t, err)
-	old := Record{"lot-intake", "hill-estate", "k0", 1000, []byte("old")}
-	first := Record{"lot-intake", "hill-estate", "k1", 5000, []byte("\x00first'\xff")}
-	again := Record{"lot-intake", "hill-estate", "k0", 6000, []byte{}}
-	for _, r := range []Record{old, first, again} {
+	old := Record{"lot-intake", "hill-estate", "k0", 1000, []byte("old"), false}
+	first := Record{"lot-intake", "hill-estate", "k1", 5000, []byte("\x00first'\xff"), false}
+	again := Record{"lot-intake", "hill-estate", "k0", 6000, []byte{}, false}
+	// Intents: one that is settled, one that its key's older result does not settle, one that came to nothing.
+	intent := func(once string, at int64) Record { return Record{"lot-intake", "hill-estate", once, at, nil, true} }
+	open, younger, void := intent("k2", 5500), intent("k3", 7000), intent("k4", 5600)
+	for _, r := range []Record{old, intent("k1", 5000), first, intent("k0", 6000), again, open, {"lot-intake", "hill-estate", "k3", 5100, []byte("three"), false},
+		younger, void, void.Void()} {
 		require.NoError(t, record(t, s, r))
 	}
 	require.NoError(t, s.Close())
@@ -40,7 +44,8 @@
 	require.NoError(t, err)
 	got, err := s.Load(5000)
 	require.NoError(t, err)
-	require.Equal(t, []Record{first, again}, got, "the newest of a key, and none from before")
+	require.Equal(t, []Record{first, {"lot-intake", "hill-estate", "k3", 5100, []byte("three"), false}, open, again, younger}, got,
+		"the newest of a key, and none from before")
 	require.NoError(t, s.Close())
 
 	s, err = Open(driver, dsn, "n1", patience)
@@ -65,7 +70,7 @@
 	p := newPG(t)
 	s, err := Open(Postgres, p.dsn(), "n0", patience)
 	require.NoError(t, err)
-	r := Record{"lot-intake", "hill-estate", "k1", 5000, []byte("x")}
+	r := Record{"lot-intake", "hill-estate", "k1", 5000, []byte("x"), false}
 	p.set("COMMIT", "fail")
 	require.ErrorContains(t, record(t, s, r), "disk full")
 	p.set("COMMIT", "")
@@ -133,13 +138,19 @@
 	field := func(name string, oid uint32) pgproto3.FieldDescription {
 		return pgproto3.FieldDescription{Name: []byte(name), DataTypeOID: oid, DataTypeSize: -1, TypeModifier: -1}
 	}
+	intents := strings.Contains(query, " intents ")
 	switch strings.Fields(query)[0] {
 	case "INSERT":
-		params = []uint32{oidText, oidText, oidText, oidText, oidInt8, oidBytea}
+		if params = []uint32{oidText, oidText, oidText, oidText, oidInt8, oidBytea}; intents {
+			params = params[:5]
+		}
 	case "SELECT":
 		params = []uint32{oidText, oidInt8}
 		row = &pgproto3.RowDescription{Fields: []pgproto3.FieldDescription{field("class", oidText), field("tenant", oidText),
 			field("once", oidText), field("at_ms", oidInt8), field("result", oidBytea)}}
+		if intents {
+			row.Fields = row.Fields[:4]
+		}
 	}
 	return params, row
 }
@@ -267,14 +278,19 @@
 		}
 	case "INSERT":
 		var row []string
-		for i := range 6 {
+		params, _ := describe(query)
+		for i := range params {
 			row = append(row, arg(i))
 		}
-		p.rows[strings.Join(row[:4], "/")] = row
+		p.rows[fmt.Sprint(len(row))+strings.Join(row[:4], "/")] = row // intents have one column less
 	case "SELECT":
 		since, _ := strconv.Atoi(arg(1))
 		var found [][]string
+		_, want := describe(query)
 		for _, r := range p.rows {
+			if len(r) != len(want.Fields)+1 {
+				continue // of the other table
+			}
 			if at, _ := strconv.Atoi(r[4]); r[0] == arg(0) && at >= since {
 				i := 0
 				for ; i < len(found) && found[i][4] < r[4]; i++ {
