--- a/internal/decide/copies/copies.go
+++ b/internal/decide/copies/copies.go
@@ -39,7 +39,8 @@
 type Value struct {
 	Kind   Kind
 	Owner  uint32 // the server that may run it
-	Life   uint64 // of that server: one that starts anew is another
+	Life   uint64 // of that server's process: one that starts anew is another, and knows nothing of what this one ran
+	Try    uint64 // of that process: two changes of one process are two as well
 	At     int64  // of the try that runs
 	Result string
 }
@@ -143,35 +144,39 @@
 type Change struct {
 	Settle bool // the end of a run; else the leave to run
 	Self   Member
-	At     int64 // of the try
-	Window int64 // milliseconds
-	Passed bool  // of Settle
+	Try    uint64 // of Self's process: another for each leave to run; the end of a run has that of its leave
+	At     int64  // of the try
+	Window int64  // milliseconds
+	Passed bool   // of Settle
 	Result string
 }
 
 // Apply is what a change makes of a value, and what that means for the asker. It may be called several times, with whatever
 // is agreed by then: a change that was made already is made no second time.
 func (c Change) Apply(v Value) (Value, Verdict) {
-	mine := v.Kind == Intent && v.Owner == c.Self.ID && v.Life == c.Self.Life
+	ours := v.Owner == c.Self.ID && v.Life == c.Self.Life && v.Try == c.Try && v.At == c.At
+	mine := v.Kind == Intent && ours
 	if c.Settle {
 		switch {
-		case mine && v.At == c.At && c.Passed:
+		case mine && c.Passed:
 			v.Kind, v.Result = Passed, c.Result
 			return v, Serve
-		case mine && v.At == c.At:
+		case mine:
 			v.Kind = Failed
 			return v, Fail
-		case v.Kind == Passed && v.Owner == c.Self.ID && v.Life == c.Self.Life && v.At == c.At:
+		case v.Kind == Passed && ours:
 			return v, Serve
+		case v.Kind == Failed && ours:
+			return v, Fail
 		}
 		return v, Stale
 	}
 	// Only times of tries are compared: what counts is when a repeat came, by its own 'at'.
 	if v.Kind == None || c.At >= v.At+c.Window {
-		return Value{Kind: Intent, Owner: c.Self.ID, Life: c.Self.Life, At: c.At}, Run
+		return Value{Kind: Intent, Owner: c.Self.ID, Life: c.Self.Life, Try: c.Try, At: c.At}, Run
 	}
 	switch {
-	case mine && v.At == c.At:
+	case mine:
 		return v, Run
 	case v.Kind == Passed:
 		return v, Serve
--- a/internal/decide/copies/copies_test.go
+++ b/internal/decide/copies/copies_test.go
@@ -250,8 +250,8 @@
 		lost, runs := 0, 0
 		var result *Value
 		for try := range 6 {
-			self := Member{uint32(10 + rng.IntN(3)), uint64(1 + rng.IntN(2))}
-			c := Change{Self: self, At: int64(100 + try), Window: window}
+			self := Member{uint32(10 + rng.IntN(3)), uint64(1 + try)}
+			c := Change{Self: self, Try: uint64(try), At: int64(100 + try), Window: window}
 			for step := 0; step < 2; step++ {
 				op, net := NewOp("k", members, c, 1)
 				var inbox []any
