Keep the hand-over's socket to its user and to servers of one address

Found by reading: with TMPDIR a shared folder, anybody could connect to an old process's socket and take over, or leave a socket for a new one to believe; and two servers of one name at two addresses would have met. The socket is the user's alone, one of another user is passed over, and the address is part of its name. Folders with brackets in their names are read too.

--- a/cmd/pewterline/upgrade.go
+++ b/cmd/pewterline/upgrade.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"runtime/debug"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -32,10 +33,10 @@
 // errOther says that a process lives that this one can't take over from.
 var errOther = errors.New("upgrade: a process of this name lives that cannot be taken over from")
 
-// meeting is the stem of the paths where processes of a log server wait for a successor, each under a name of its own: numbers
-// of processes come again, and one that ends takes away the path it made.
-func meeting(dir, name string) string {
-	return filepath.Join(dir, fmt.Sprintf("pewterline-%08x-", uint32(xxhash.Sum64String(name))))
+// meeting is how the names begin where processes of a log server wait for a successor: those of one name and one address for
+// proxies. Each has a name of its own behind that: numbers of processes come again, and one that ends takes away the path it made.
+func meeting(cfg config.Config) string {
+	return fmt.Sprintf("pewterline-%08x-", uint32(xxhash.Sum64String(cfg.Name+" "+cfg.Listen)))
 }
 
 // meetingPoint listens where this process waits for a successor; nil where it does not: without an address for operators
@@ -45,8 +46,13 @@
 	if cfg.Admin == "" {
 		return nil
 	}
-	path := meeting(dir, cfg.Name) + strconv.FormatInt(time.Now().UnixNano(), 36)
+	path := filepath.Join(dir, meeting(cfg)+strconv.FormatInt(time.Now().UnixNano(), 36))
 	ln, err := net.Listen("unix", path)
+	if err == nil { // whoever may connect may take over
+		if err = os.Chmod(path, 0o600); err != nil {
+			err = errors.Join(err, ln.Close())
+		}
+	}
 	if err != nil {
 		logf("upgrade: %v: this process can't be taken over from", err)
 		return nil
@@ -69,12 +75,16 @@
 	}
 	until := time.Now().Add(patience)
 	for {
-		paths, err := filepath.Glob(meeting(dir, cfg.Name) + "*")
+		entries, err := os.ReadDir(dir)
 		if err != nil {
 			return nil, fmt.Errorf("upgrade: %w", err)
 		}
 		var last error
-		for _, path := range paths {
+		for _, e := range entries {
+			if !strings.HasPrefix(e.Name(), meeting(cfg)) {
+				continue
+			}
+			path := filepath.Join(dir, e.Name())
 			p, err := meet(path, cfg.Name, until)
 			switch {
 			case err == nil:
@@ -83,7 +93,7 @@
 				logf("upgrade: %s is a leftover of a dead process", path)
 				_ = os.Remove(path)
 			case errors.Is(err, syscall.ENOTSOCK) || errors.Is(err, errNoSocket):
-				logf("upgrade: %s is no socket, and is passed over", path)
+				logf("upgrade: %s is no socket of this user's, and is passed over", path)
 			case errors.Is(err, upgrade.ErrVersion):
 				return nil, fmt.Errorf("%w: %s: %w", errOther, path, err)
 			default:
@@ -100,14 +110,14 @@
 	}
 }
 
-var errNoSocket = errors.New("no socket")
+var errNoSocket = errors.New("no socket of this user's")
 
 // meet says hello to the process that waits at a path, and hears all that it has to tell.
 func meet(path, name string, until time.Time) (_ *predecessor, err error) {
 	if info, err := os.Lstat(path); err != nil {
 		return nil, err
-	} else if info.Mode()&fs.ModeSocket == 0 {
-		return nil, errNoSocket
+	} else if stat, ok := info.Sys().(*syscall.Stat_t); info.Mode()&fs.ModeSocket == 0 || ok && int(stat.Uid) != os.Geteuid() {
+		return nil, errNoSocket // in a folder that others can write to, anybody may leave one
 	}
 	conn, err := net.DialTimeout("unix", path, time.Until(until))
 	if err != nil {
--- a/cmd/pewterline/upgrade_test.go
+++ b/cmd/pewterline/upgrade_test.go
@@ -384,7 +384,7 @@
 
 // waitsAt is the path where a process waits for a successor.
 func waitsAt(t *testing.T, dir string) string {
-	paths, err := filepath.Glob(meeting(dir, "n0") + "*")
+	paths, err := filepath.Glob(filepath.Join(dir, "pewterline-*"))
 	require.NoError(t, err)
 	require.Len(t, paths, 1)
 	return paths[0]
@@ -597,8 +597,8 @@
 	dir, err := os.MkdirTemp("", "pw")
 	require.NoError(t, err)
 	defer os.RemoveAll(dir)
-	cfg := config.Config{Name: "n0", Admin: "127.0.0.1:1"}
-	at := func(n int) string { return meeting(dir, "n0") + strconv.Itoa(n) }
+	cfg := config.Config{Name: "n0", Listen: "127.0.0.1:2", Admin: "127.0.0.1:1"}
+	at := func(n int) string { return filepath.Join(dir, meeting(cfg)+strconv.Itoa(n)) }
 	try := func() (*predecessor, error) { return approach(dir, cfg, 3*askAgain, t.Logf) }
 	require.NoError(t, os.WriteFile(at(1), []byte("spoilt"), 0o600))
 	ln, err := net.ListenUnix("unix", &net.UnixAddr{Name: at(2), Net: "unix"})
@@ -610,6 +610,28 @@
 	require.Nil(t, p)
 	require.FileExists(t, at(1))
 	require.NoFileExists(t, at(2))
+	// A socket of another user's, and that of a server at another address, are none of ours.
+	other, err := net.Listen("unix", at(4))
+	require.NoError(t, err)
+	if os.Geteuid() == 0 { // who else could give it away
+		require.NoError(t, os.Chown(at(4), 12345, -1))
+		p, err = try()
+		require.NoError(t, err)
+		require.Nil(t, p)
+	}
+	require.NoError(t, other.Close())
+	elsewhere := cfg
+	elsewhere.Listen = "127.0.0.1:3"
+	ours := meetingPoint(dir, elsewhere, t.Logf)
+	require.NotNil(t, ours)
+	info, err := os.Stat(ours.Addr().String())
+	require.NoError(t, err)
+	require.Equal(t, os.FileMode(0o600), info.Mode().Perm(), "whoever may connect may take over")
+	p, err = try()
+	require.NoError(t, err)
+	require.Nil(t, p)
+	require.NoError(t, ours.Close())
+	require.Nil(t, meetingPoint(filepath.Join(dir, "none"), cfg, t.Logf), "it serves without")
 	for says, want := range map[string]string{"pwtu\x00\x02": "another version", "pwtu\x00\x01\xff\xff\xff\xff": "broken frame",
 		"pwtu\x00\x01\x00\x00\x00\x01\xa0": "broken frame", "HTTP/1.1": "no preamble"} {
 		ln, err := net.Listen("unix", at(3))
