--- a/internal/procs/play.go
+++ b/internal/procs/play.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"path/filepath"
 	"slices"
 	"strings"
 	"sync"
@@ -80,6 +81,13 @@
 	}
 	p := &play{script: script, opts: opts, relays: map[*Process]*Relay{}, began: time.Now()}
 	p.srv = &Server{Program: opts.Program, Dir: dir, Listen: listen, Settings: opts.Settings, StopMS: 3200, MemoryMB: 64, Ledger: NewLedger()}
+	if script.Store {
+		p.srv.Store = filepath.Join(dir, "store.toml")
+		text := fmt.Sprintf("driver = \"sqlite\"\ndsn = %q\ntimeout_ms = 30000\n", filepath.Join(dir, "intakes.db"))
+		if err := os.WriteFile(p.srv.Store, []byte(text), 0o600); err != nil {
+			return out, err
+		}
+	}
 	defer func() {
 		err = errors.Join(err, p.srv.Close())
 		for _, r := range p.relays {
@@ -291,7 +299,7 @@
 	var c *Conn
 	for j := 0; !p.closing.Load(); j++ {
 		body := fmt.Sprintf("lot %d/%d", i, j)
-		for range triesMost {
+		for tries := 0; tries < triesMost && !p.closing.Load(); tries++ {
 			if c == nil || !c.Usable() || rng.IntN(4) == 0 {
 				if c != nil {
 					c.Close()
@@ -301,6 +309,7 @@
 					c = nil
 					p.count(func(o *Outcome) { o.Unheard++ })
 					time.Sleep(20 * time.Millisecond)
+					tries-- // nobody is there: what was open when the server died comes again once it is back
 					continue
 				}
 			}
@@ -346,13 +355,14 @@
 	p.count(func(o *Outcome) { o.Broken = append(o.Broken, fmt.Sprintf(format, args...)) })
 }
 
-// life numbers the processes' lives: one that was told by its predecessor lives that one's life on.
+// life numbers the processes' lives: one that was told by its predecessor lives that one's life on, and with a store of record
+// each does.
 func (p *play) life() map[*Pool]int {
 	p.srv.mu.Lock()
 	defer p.srv.mu.Unlock()
 	out, n := map[*Pool]int{}, 0
 	for _, q := range p.srv.all {
-		if log := q.Log(); strings.Contains(log, "serves on") && !strings.Contains(log, "messages of the predecessor taken up") {
+		if log := q.Log(); n == 0 || !p.script.Store && strings.Contains(log, "serves on") && !strings.Contains(log, "messages of the predecessor taken up") {
 			n++
 		}
 		out[q.Pool] = n
@@ -398,7 +408,7 @@
 // Drawn is a script from a seed: upgrades, one after the other, and faults at any moment of them.
 func Drawn(seed uint64, seconds float64) faults.Script {
 	rng := rand.New(rand.NewPCG(seed, 1))
-	s := faults.Script{Seed: seed, Servers: 1, Proxies: 6, Length: micro.Time(seconds * 1e6), Rate: 1}
+	s := faults.Script{Seed: seed, Servers: 1, Proxies: 6, Length: micro.Time(seconds * 1e6), Rate: 1, Store: seed%2 == 0}
 	at := func() micro.Time { return micro.Time(rng.Int64N(int64(s.Length))) }
 	within := func(most micro.Time) micro.Time { return 1 + micro.Time(rng.Int64N(int64(most))) }
 	for range 1 + int(seconds/2) {
