--- a/cmd/pewterline/upgrade.go
+++ b/cmd/pewterline/upgrade.go
@@ -76,8 +76,9 @@
 	until := time.Now().Add(patience)
 	for {
 		entries, err := os.ReadDir(dir)
-		if err != nil {
-			return nil, fmt.Errorf("upgrade: %w", err)
+		if err != nil { // no process can wait there; a server that could serve must not fail to start for that
+			logf("upgrade: %v: no process can be taken over from", err)
+			return nil, nil
 		}
 		var last error
 		for _, e := range entries {
--- a/cmd/pewterline/upgrade_test.go
+++ b/cmd/pewterline/upgrade_test.go
@@ -632,6 +632,9 @@
 	require.Nil(t, p)
 	require.NoError(t, ours.Close())
 	require.Nil(t, meetingPoint(filepath.Join(dir, "none"), cfg, t.Logf), "it serves without")
+	p, err = approach(filepath.Join(dir, "none"), cfg, askAgain, t.Logf)
+	require.NoError(t, err, "a folder that is not there is no reason not to start")
+	require.Nil(t, p)
 	for says, want := range map[string]string{"pwtu\x00\x02": "another version", "pwtu\x00\x01\xff\xff\xff\xff": "broken frame",
 		"pwtu\x00\x01\x00\x00\x00\x01\xa0": "broken frame", "HTTP/1.1": "no preamble"} {
 		ln, err := net.Listen("unix", at(3))
