--- a/internal/decide/copies/copies.go
+++ b/internal/decide/copies/copies.go
@@ -33,6 +33,7 @@
 	Intent      // Owner may run it, and may have
 	Passed      // it ran, with Result
 	Failed      // it ran and failed, or its run's end is lost
+	Chosen      // Result is the group that follows one
 )
 
 // Value is what is agreed on a key. Times are Unix milliseconds of the tries themselves, so that no clock matters.
@@ -56,6 +57,8 @@
 type Request struct {
 	To     Member
 	Key    string
+	Epoch  uint64 // of the group that the asker goes by
+	At     int64  // of the try that it is for: by that the key is forgotten
 	Ballot Ballot
 	Accept bool  // Value; else only the promise and what is held are wanted
 	Value  Value // of Accept
@@ -65,6 +68,7 @@
 type Reply struct {
 	From     Member
 	Key      string
+	Epoch    uint64 // that the holder goes by; it takes no request of another one
 	Ballot   Ballot // of the request
 	Accept   bool
 	OK       bool
@@ -77,11 +81,14 @@
 type Slot struct {
 	Promised, Accepted Ballot
 	Value              Value
+	At                 int64  // the last try that it was asked for
+	Moved              uint64 // the last epoch in which this holder has seen to it that those to come hold it
 }
 
 // Holder is the holder's side.
 type Holder struct {
 	Self  Member
+	Epoch uint64 // of the group
 	slots map[string]Slot
 }
 
@@ -100,7 +107,10 @@
 		return Reply{}, false, false
 	}
 	s := h.slots[r.Key]
-	out := Reply{From: h.Self, Key: r.Key, Ballot: r.Ballot, Accept: r.Accept}
+	out := Reply{From: h.Self, Key: r.Key, Epoch: h.Epoch, Ballot: r.Ballot, Accept: r.Accept}
+	if r.Epoch != h.Epoch {
+		return out, false, true
+	}
 	if r.Ballot.Less(s.Promised) {
 		out.Promised = s.Promised
 		return out, false, true
@@ -108,6 +118,7 @@
 	if s.Promised = r.Ballot; r.Accept {
 		s.Accepted, s.Value = r.Ballot, r.Value
 	}
+	s.At = max(s.At, r.At)
 	h.slots[r.Key] = s
 	out.OK, out.Accepted, out.Value = true, s.Accepted, s.Value
 	return out, true, true
@@ -120,7 +131,7 @@
 // more than any request is on its way.
 func (h *Holder) Forget(before int64) (n int) {
 	for key, s := range h.slots {
-		if s.Value.At < before && s.Value.Kind != None {
+		if s.At < before {
 			delete(h.slots, key)
 			n++
 		}
@@ -128,6 +139,20 @@
 	return n
 }
 
+// moved notes that a majority of the holders to come has what is agreed on a key.
+func (h *Holder) moved(key string) (s Slot, changed bool) {
+	s, ok := h.slots[key]
+	if !ok || s.Moved == h.Epoch {
+		return s, false
+	}
+	s.Moved = h.Epoch
+	h.slots[key] = s
+	return s, true
+}
+
+// Len counts the keys that are held.
+func (h *Holder) Len() int { return len(h.slots) }
+
 // Verdict is what a change has come to.
 type Verdict uint8
 
@@ -138,29 +163,46 @@
 	Fail                       // a run has failed
 	Unknown                    // another server, or an earlier life, may have run it: nobody knows before its window is over
 	Stale                      // the asker does not own it any more
+	Free                       // nothing is known that would stand in a run's way
+	Decided                    // Result is the group that follows
+)
+
+// Act is what a change is for.
+type Act uint8
+
+// The acts.
+const (
+	Leave  Act = iota // to run it
+	End               // of a run
+	Look              // at what is agreed; it changes nothing, and has a majority hold that
+	Void              // takes the leave back: the run was not begun
+	Decide            // the group that follows one
 )
 
 // Change is a change of a key that a server wants.
 type Change struct {
-	Settle bool // the end of a run; else the leave to run
+	Act    Act
 	Self   Member
 	Try    uint64 // of Self's process: another for each leave to run; the end of a run has that of its leave
 	At     int64  // of the try
 	Window int64  // milliseconds
-	Passed bool   // of Settle
-	Result string
+	Passed bool   // of End
+	Result string // of End and Decide
+	Fresh  bool   // of Leave: no leave that Self's process has had for the key before led to a run, or will
+	Lost   int64  // until then it is not known what ran, where nothing says so: holders were given up. 0: none were
 }
 
 // Apply is what a change makes of a value, and what that means for the asker. It may be called several times, with whatever
 // is agreed by then: a change that was made already is made no second time.
 func (c Change) Apply(v Value) (Value, Verdict) {
-	ours := v.Owner == c.Self.ID && v.Life == c.Self.Life && v.Try == c.Try && v.At == c.At
+	own := v.Owner == c.Self.ID && v.Life == c.Self.Life
+	ours := own && v.Try == c.Try && v.At == c.At
 	mine := v.Kind == Intent && ours
-	if c.Settle {
+	switch c.Act {
+	case End:
 		switch {
-		case mine && c.Passed:
-			v.Kind, v.Result = Passed, c.Result
-			return v, Serve
+		case (mine || v.Kind == None) && c.Passed: // None: what was agreed was given up with its holders, and it did run
+			return Value{Passed, c.Self.ID, c.Self.Life, c.Try, c.At, c.Result}, Serve
 		case mine:
 			v.Kind = Failed
 			return v, Fail
@@ -170,13 +212,26 @@
 			return v, Fail
 		}
 		return v, Stale
+	case Void:
+		if mine {
+			return Value{}, Free
+		}
+		return v, Stale
+	case Decide:
+		if v.Kind == None {
+			v = Value{Kind: Chosen, Result: c.Result}
+		}
+		return v, Decided
 	}
 	// Only times of tries are compared: what counts is when a repeat came, by its own 'at'.
-	if v.Kind == None || c.At >= v.At+c.Window {
+	switch past := v.Kind == None || c.At >= v.At+c.Window; {
+	case past && c.At < c.Lost+c.Window && c.Lost > 0:
+		return v, Unknown
+	case past && c.Act == Look:
+		return v, Free
+	case past, v.Kind == Intent && own && c.Fresh && c.Act == Leave:
 		return Value{Kind: Intent, Owner: c.Self.ID, Life: c.Self.Life, Try: c.Try, At: c.At}, Run
-	}
-	switch {
-	case mine:
+	case mine && c.Act == Leave:
 		return v, Run
 	case v.Kind == Passed:
 		return v, Serve
@@ -191,8 +246,10 @@
 	Key     string
 	Change  Change
 	Ballot  Ballot
-	members []Member
-	accept  bool // the second of both rounds
+	Epoch   uint64
+	sets    [][]Member // a majority of each is needed: while a group changes, there are two
+	all     bool       // and, if they answer in time, all of them
+	accept  bool       // the second of both rounds
 	votes   []Member
 	newest  Ballot
 	value   Value
@@ -202,8 +259,8 @@
 }
 
 // NewOp begins a change at the holders of a key; n is a number above any that this server has used for it.
-func NewOp(key string, members []Member, c Change, n uint64) (*Op, []Request) {
-	o := &Op{Key: key, Change: c, members: slices.Clone(members)}
+func NewOp(key string, epoch uint64, sets [][]Member, c Change, n uint64) (*Op, []Request) {
+	o := &Op{Key: key, Change: c, Epoch: epoch, sets: sets}
 	return o, o.Again(n)
 }
 
@@ -214,18 +271,48 @@
 	return o.ask()
 }
 
+// Move has the change made by another group.
+func (o *Op) Move(epoch uint64, sets [][]Member, n uint64) []Request {
+	o.Epoch, o.sets = epoch, sets
+	return o.Again(n)
+}
+
 func (o *Op) ask() (out []Request) {
-	for _, m := range o.members {
-		out = append(out, Request{To: m, Key: o.Key, Ballot: o.Ballot, Accept: o.accept, Value: o.value})
+	var asked []Member
+	for _, set := range o.sets {
+		for _, m := range set {
+			if !slices.Contains(asked, m) {
+				asked = append(asked, m)
+				out = append(out, Request{To: m, Key: o.Key, Epoch: o.Epoch, At: o.Change.At, Ballot: o.Ballot, Accept: o.accept, Value: o.value})
+			}
+		}
 	}
 	return out
 }
 
-func (o *Op) majority() int { return len(o.members)/2 + 1 }
+// agreed says that a majority of each set has voted, or all.
+func (o *Op) agreed(all bool) bool {
+	for _, set := range o.sets {
+		n, want := 0, len(set)/2+1
+		if all {
+			want = len(set)
+		}
+		for _, m := range set {
+			if slices.Contains(o.votes, m) {
+				n++
+			}
+		}
+		if n < want {
+			return false
+		}
+	}
+	return true
+}
 
 // Heard takes a reply; it returns what to ask next. Replies to earlier attempts and repeated ones change nothing.
 func (o *Op) Heard(r Reply) []Request {
-	if o.over || r.Key != o.Key || r.Ballot != o.Ballot || r.Accept != o.accept || !slices.Contains(o.members, r.From) {
+	if o.over || r.Key != o.Key || r.Ballot != o.Ballot || r.Accept != o.accept || r.Epoch != o.Epoch ||
+		!slices.ContainsFunc(o.sets, func(set []Member) bool { return slices.Contains(set, r.From) }) {
 		return nil
 	}
 	if !r.OK {
@@ -239,16 +326,27 @@
 	if !o.accept && o.newest.Less(r.Accepted) {
 		o.newest, o.value = r.Accepted, r.Value
 	}
-	if len(o.votes) < o.majority() {
-		return nil
-	}
-	if o.accept {
-		o.over = true
-		return nil
+	switch {
+	case !o.agreed(false):
+	case o.accept:
+		o.over = !o.all || o.agreed(true)
+	default:
+		was := o.value
+		o.value, o.verdict = o.Change.Apply(o.value)
+		if o.Change.Act == Look && was.Kind == None { // nothing that holders would have to hold
+			o.over = true
+			return nil
+		}
+		o.accept, o.votes = true, nil
+		return o.ask()
 	}
-	o.accept, o.votes = true, nil
-	o.value, o.verdict = o.Change.Apply(o.value)
-	return o.ask()
+	return nil
+}
+
+// Enough ends a change that waits for those that have not answered, beyond a majority. It returns whether it is over.
+func (o *Op) Enough() bool {
+	o.over = o.over || o.accept && o.agreed(false)
+	return o.over
 }
 
 // Blocked says that an attempt under a higher number stands in the way: Again is due, after a while that differs by server.
--- a/internal/decide/copies/copies_test.go
+++ b/internal/decide/copies/copies_test.go
@@ -73,7 +73,7 @@
 	for _, s := range g.servers {
 		num(s.life, uint64(s.attempts), yes(s.ran), yes(s.ended))
 		if o := s.op; o != nil {
-			num(yes(o.Change.Settle), yes(o.accept), yes(o.over), uint64(o.verdict), o.seen, uint64(len(o.votes)))
+			num(uint64(o.Change.Act), yes(o.accept), yes(o.over), uint64(o.verdict), o.seen, uint64(len(o.votes)))
 			ballot(o.Ballot)
 			ballot(o.newest)
 			value(o.value)
@@ -152,7 +152,7 @@
 		case s.op == nil && s.attempts < g.bounds.attempts:
 			add(fmt.Sprintf("server %d asks", i), func(n *group) {
 				n.servers[i].attempts++
-				n.servers[i].op, _ = NewOp("k", three, Change{Self: self, At: int64(s.life), Window: window}, 1)
+				n.servers[i].op, _ = NewOp("k", 0, [][]Member{three}, Change{Self: self, At: int64(s.life), Window: window}, 1)
 			})
 		case s.op != nil && !s.op.over && s.attempts < g.bounds.attempts:
 			add(fmt.Sprintf("server %d asks again", i), func(n *group) {
@@ -167,7 +167,7 @@
 		case s.ran && !s.ended && s.op.over:
 			add(fmt.Sprintf("server %d's run ends", i), func(n *group) {
 				n.servers[i].ended = true
-				n.servers[i].op, _ = NewOp("k", three, Change{Settle: true, Self: self, At: int64(s.life), Window: window, Passed: true, Result: "r"}, s.op.Ballot.N+1)
+				n.servers[i].op, _ = NewOp("k", 0, [][]Member{three}, Change{Act: End, Self: self, At: int64(s.life), Window: window, Passed: true, Result: "r"}, s.op.Ballot.N+1)
 			})
 		}
 		if s.op != nil && g.deaths < g.bounds.deaths {
@@ -253,7 +253,7 @@
 			self := Member{uint32(10 + rng.IntN(3)), uint64(1 + try)}
 			c := Change{Self: self, Try: uint64(try), At: int64(100 + try), Window: window}
 			for step := 0; step < 2; step++ {
-				op, net := NewOp("k", members, c, 1)
+				op, net := NewOp("k", 0, [][]Member{members}, c, 1)
 				var inbox []any
 				for _, r := range net {
 					inbox = append(inbox, r)
@@ -318,7 +318,7 @@
 				if rng.IntN(3) == 0 {
 					break // it dies before its end is agreed
 				}
-				c.Settle, c.Passed, c.Result = true, true, fmt.Sprint(try)
+				c.Act, c.Passed, c.Result = End, true, fmt.Sprint(try)
 			}
 		}
 	}
--- a/internal/decide/copies/node.go
+++ b/internal/decide/copies/node.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 
@@ -11,27 +12,33 @@
 
 // Config says how a Node goes about its changes.
 type Config struct {
-	Copies int        // holders of a key; odd. Up to half of them may be lost: 3 for one loss, 5 for two
-	Wait   micro.Time // for the holders' answers, before an attempt is made anew
-	Most   micro.Time // for a change in all: then it is not known whether it was made
-	Keys   int        // changes under way at once; more are refused
+	Wait       micro.Time // for the holders' answers, before an attempt is made anew
+	Most       micro.Time // for a change in all: then it is not known whether it was made
+	Keys       int        // changes under way at once; more are refused
+	RepairRate int        // keys a second that are brought to holders that may lack them
+	RepairKeys int        // of them under way at once
 }
 
 // Check names what makes no sense.
 func (c Config) Check() error {
 	switch {
-	case c.Copies < 1 || c.Copies%2 == 0 || c.Copies > 9:
-		return fmt.Errorf("copies: %d is not odd and within 1 to 9", c.Copies)
 	case c.Wait <= 0 || c.Most < 2*c.Wait:
 		return fmt.Errorf("wait_ms: %v is not over 0, or %v in all is under twice that", c.Wait.Duration(), c.Most.Duration())
 	case c.Keys < 1:
 		return errors.New("keys: under 1")
+	case c.RepairRate < 1 || c.RepairKeys < 1:
+		return errors.New("repair: under 1 key a second, or under 1 at once")
 	}
 	return nil
 }
 
-// ErrBusy says that too many changes are under way: the intake has not run and may be turned away.
-var ErrBusy = errors.New("copies: too many changes are under way")
+// The errors of Begin and of changes of the group. None of them has changed anything.
+var (
+	ErrBusy     = errors.New("copies: too many changes are under way")
+	ErrNoGroup  = errors.New("copies: no group is known here yet")
+	ErrChanging = errors.New("copies: a change of members is under way")
+	ErrMember   = errors.New("copies: no such change of members")
+)
 
 // Saved is a slot that has to be durable before what comes with it is sent.
 type Saved struct {
@@ -48,21 +55,41 @@
 	Value   Value
 }
 
-// Ready is what the host is to do, in this order: make Save durable, send, and take the results.
+// Answer is a reply to whoever asked.
+type Answer struct {
+	To Member
+	Reply
+}
+
+// Mark says that a member of an epoch has brought all that it holds to the holders to come.
+type Mark struct {
+	Epoch uint64
+	Of    Member
+}
+
+// Ready is what the host is to do, in this order: make Group and Save durable, send, and take the results.
 type Ready struct {
+	Group    *Group // nil: as before
 	Save     []Saved
 	Requests []Request
-	Replies  map[Member][]Reply // to whoever asked
+	Replies  []Answer
+	Tell     []uint32 // servers that are to hear of the group
+	Marks    []Mark   // for all members
 	Results  []Result
 }
 
+const (
+	markEvery   = 500 * micro.Millisecond // while a group changes: marks may be lost
+	rejoinEvery = 2 * micro.Second
+)
+
 // Node is one log server of a group: it holds copies for others, and changes keys for its own intakes. It has no clock and no
 // randomness but its seed's.
 type Node struct {
 	Self    Member // as a holder: its life ends with its disk
 	Process Member // as a server: its life ends with the process
 	cfg     Config
-	members []Member
+	group   Group
 	score   func(string) uint64
 	holder  *Holder
 	rng     *rand.Rand
@@ -70,44 +97,90 @@
 	last    uint64      // id
 	number  uint64      // of ballots, the highest that was used or seen
 	ready   Ready
+	up      map[uint32]bool // servers that can be reached
+
+	queue    []string        // keys to be brought to holders that may lack them
+	queued   map[string]bool // and those under way: two repairs of one key here would only stand in each other's way
+	owed     map[string]bool // of them, those that the members to come have to hold before the change goes on
+	repairs  int             // under way
+	tokens   float64         // of repair
+	counted  micro.Time      // when tokens were last added
+	repaired uint64          // keys so far
+	marks    map[Member]bool
+	nextMark micro.Time
+	rejoin   micro.Time
+	deciding uint64 // id of the change of the group that is under way; 0: none
 }
 
 // underway is a change under way.
 type underway struct {
-	id    uint64
-	op    *Op
-	again micro.Time // the next attempt is due
-	until micro.Time
-	wait  micro.Time
+	id     uint64
+	op     *Op
+	repair bool
+	again  micro.Time // the next attempt is due
+	until  micro.Time
+	wait   micro.Time
 }
 
-// NewNode returns a node with the slots that it had made durable; nil: none, as a life without a disk has. process is unlike that
-// of any process before it on this server.
-func NewNode(self Member, process uint64, cfg Config, members []Member, slots map[string]Slot, seed uint64, score func(string) uint64) (*Node, error) {
+// NewNode returns a node with the group and the slots that it had made durable; none, as a life without a disk has. process is
+// unlike that of any process before it on this server.
+func NewNode(self Member, process uint64, cfg Config, group Group, slots map[string]Slot, seed uint64, score func(string) uint64) (*Node, error) {
 	if err := cfg.Check(); err != nil {
 		return nil, fmt.Errorf("copies: %w", err)
 	}
-	if len(members) < cfg.Copies {
-		return nil, fmt.Errorf("copies: %d members are too few for %d copies", len(members), cfg.Copies)
+	if group.Epoch > 0 {
+		if err := group.Check(); err != nil {
+			return nil, err
+		}
 	}
-	return &Node{Self: self, Process: Member{self.ID, process}, cfg: cfg, members: slices.Clone(members), score: score, holder: NewHolder(self, slots),
-		rng: rand.New(rand.NewPCG(seed, 5)), ready: Ready{Replies: map[Member][]Reply{}}}, nil
+	n := &Node{Self: self, Process: Member{self.ID, process}, cfg: cfg, score: score, holder: NewHolder(self, slots), rng: rand.New(rand.NewPCG(seed, 5)),
+		up: map[uint32]bool{}, queued: map[string]bool{}, owed: map[string]bool{}, marks: map[Member]bool{}}
+	n.take(group)
+	return n, nil
 }
 
+// Group is the newest that is known.
+func (n *Node) Group() Group { return n.group }
+
+// Slot is what is held of a key.
+func (n *Node) Slot(key string) Slot { return n.holder.Slot(key) }
+
+// Held counts the keys that are held.
+func (n *Node) Held() int { return n.holder.Len() }
+
+// Repairing counts the keys that wait to be brought to other holders, and those that were.
+func (n *Node) Repairing() (left int, done uint64) { return len(n.queue) + n.repairs, n.repaired }
+
+// Marked are the members that have brought what they hold to the holders to come.
+func (n *Node) Marked() int { return len(n.marks) }
+
+// Under counts the changes under way.
+func (n *Node) Under() int { return len(n.under) }
+
 // Begin starts a change of a key. The end of a run has the Try of the value that gave the leave.
 func (n *Node) Begin(now micro.Time, key string, c Change) (uint64, error) {
-	if len(n.under) >= n.cfg.Keys {
+	switch {
+	case n.group.Epoch == 0:
+		return 0, ErrNoGroup
+	case len(n.under)-n.repairs >= n.cfg.Keys:
 		return 0, ErrBusy
 	}
-	n.last++
-	if c.Self = n.Process; !c.Settle {
-		c.Try = n.last
+	if c.Act == Leave {
+		c.Try = n.last + 1
 	}
+	c.Lost = n.group.Lost
+	return n.begin(now, key, c, n.group.Holders(key, n.score), false), nil
+}
+
+func (n *Node) begin(now micro.Time, key string, c Change, sets [][]Member, repair bool) uint64 {
+	n.last++
+	c.Self = n.Process
 	n.number++
-	op, asks := NewOp(key, Holders(key, n.members, n.cfg.Copies, n.score), c, n.number)
-	n.under = append(n.under, &underway{n.last, op, now + n.cfg.Wait, now + n.cfg.Most, n.cfg.Wait})
+	op, asks := NewOp(key, n.group.Epoch, sets, c, n.number)
+	op.all = repair
+	n.under = append(n.under, &underway{id: n.last, op: op, repair: repair, again: now + n.cfg.Wait, until: now + n.cfg.Most, wait: n.cfg.Wait})
 	n.ready.Requests = append(n.ready.Requests, asks...)
-	return n.last, nil
+	return n.last
 }
 
 // Asked answers a request of another node, or of this one.
@@ -119,57 +192,392 @@
 	if changed {
 		n.ready.Save = append(n.ready.Save, Saved{r.Key, n.holder.Slot(r.Key)})
 	}
-	n.ready.Replies[from] = append(n.ready.Replies[from], reply)
+	if r.Epoch < n.group.Epoch {
+		n.tell(from.ID)
+	}
+	n.ready.Replies = append(n.ready.Replies, Answer{from, reply})
+}
+
+func (n *Node) tell(id uint32) {
+	if id != n.Self.ID && !slices.Contains(n.ready.Tell, id) {
+		n.ready.Tell = append(n.ready.Tell, id)
+	}
 }
 
 // Heard takes an answer to a request of this node.
 func (n *Node) Heard(now micro.Time, r Reply) {
+	if !r.OK && r.Epoch < n.group.Epoch {
+		n.tell(r.From.ID)
+	}
 	n.number = max(n.number, r.Promised.N)
-	for i, u := range n.under {
-		if u.op.Ballot != r.Ballot || u.op.Key != r.Key {
-			continue
+	i := slices.IndexFunc(n.under, func(u *underway) bool { return u.op.Ballot == r.Ballot && u.op.Key == r.Key })
+	if i < 0 {
+		return
+	}
+	u := n.under[i]
+	n.ready.Requests = append(n.ready.Requests, u.op.Heard(r)...)
+	if _, _, done := u.op.Done(); done {
+		n.end(now, i)
+	} else if u.op.Blocked() {
+		// Somebody else is at this key. Who waits for how long is drawn, so that two don't go on standing in each other's way.
+		u.again = min(u.again, now+1+micro.Time(n.rng.Int64N(int64(u.wait))))
+	}
+}
+
+// end takes a change off that is over, or whose time is.
+func (n *Node) end(now micro.Time, i int) {
+	u := n.under[i]
+	n.under = slices.Delete(n.under, i, i+1)
+	verdict, value, known := u.op.Done()
+	switch {
+	case u.repair:
+		n.repairs--
+		delete(n.queued, u.op.Key)
+		if known {
+			n.repaired++
+			if n.owed[u.op.Key] && u.op.Epoch == n.group.Epoch {
+				delete(n.owed, u.op.Key)
+				// So that a process that starts anew in the middle of a change goes on with the rest: guards the change against
+				// servers that die more often than all they hold can be brought on.
+				if s, changed := n.holder.moved(u.op.Key); changed {
+					n.ready.Save = append(n.ready.Save, Saved{u.op.Key, s})
+				}
+			}
+		} else {
+			n.enqueue(u.op.Key) // no majority: it stays to be done
 		}
-		n.ready.Requests = append(n.ready.Requests, u.op.Heard(r)...)
-		if verdict, value, done := u.op.Done(); done {
-			n.ready.Results = append(n.ready.Results, Result{u.id, u.op.Key, true, verdict, value})
-			n.under = slices.Delete(n.under, i, i+1)
-		} else if u.op.Blocked() {
-			// Somebody else is at this key. Who waits for how long is drawn, so that two don't go on standing in each other's way.
-			u.again = min(u.again, now+1+micro.Time(n.rng.Int64N(int64(n.cfg.Wait))))
+	case u.id == n.deciding:
+		n.deciding = 0
+		if known {
+			n.decided(now, value)
 		}
-		return
+	default:
+		n.ready.Results = append(n.ready.Results, Result{u.id, u.op.Key, known, verdict, value})
 	}
 }
 
-// Tick makes attempts anew that are due, and ends changes whose time is over. It returns when the next is.
+func (n *Node) decided(now micro.Time, v Value) {
+	if g, err := Parse(v.Result); v.Kind == Chosen && err == nil { // it was parsed by whoever proposed it
+		_ = n.Adopt(now, g)
+	}
+}
+
+// Tick makes attempts anew that are due, ends changes whose time is over, and goes on with repairs and with a change of members.
+// It returns when the next is due.
 func (n *Node) Tick(now micro.Time) micro.Time {
-	next, left := micro.Never, n.under[:0]
-	for _, u := range n.under {
-		if now >= u.until {
-			n.ready.Results = append(n.ready.Results, Result{ID: u.id, Key: u.op.Key})
-			continue
-		}
-		if now >= u.again {
+	for i := 0; i < len(n.under); i++ {
+		u := n.under[i]
+		switch {
+		case now >= u.until || u.repair && now >= u.again && u.op.Enough():
+			u.op.Enough()
+			n.end(now, i)
+			i--
+		case now >= u.again:
 			n.number++
 			n.ready.Requests = append(n.ready.Requests, u.op.Again(n.number)...)
 			n.number = max(n.number, u.op.Ballot.N)
 			u.wait = min(2*u.wait, n.cfg.Most)
 			u.again = now + u.wait/2 + micro.Time(n.rng.Int64N(int64(u.wait)))
 		}
+	}
+	next := min(n.repair(now), n.change(now))
+	for _, u := range n.under {
 		next = min(next, u.again, u.until)
-		left = append(left, u)
 	}
-	clear(n.under[len(left):])
-	n.under = left
 	return next
 }
 
 // Ready takes what the host is to do.
 func (n *Node) Ready() Ready {
 	out := n.ready
-	n.ready = Ready{Replies: map[Member][]Reply{}}
+	n.ready = Ready{}
 	return out
 }
 
 // Forget drops the keys whose window is over; see Holder.Forget.
 func (n *Node) Forget(before int64) int { return n.holder.Forget(before) }
+
+// Linked says whether a server can be reached now. One that could not may have missed what it should hold.
+func (n *Node) Linked(id uint32, up bool) {
+	was := n.up[id]
+	if n.up[id] = up; !up || was {
+		return
+	}
+	for _, key := range n.keys() {
+		sets := n.group.Holders(key, n.score)
+		holds := slices.ContainsFunc(sets[0], func(m Member) bool { return m.ID == id })
+		// One of those that can be reached sees to it.
+		first := slices.IndexFunc(sets[0], func(m Member) bool { return m.ID != id && (m.ID == n.Self.ID || n.up[m.ID]) })
+		if holds && first >= 0 && sets[0][first] == n.Self {
+			n.enqueue(key)
+		}
+	}
+}
+
+// Repair has all that is held here brought to all its holders.
+func (n *Node) Repair() int {
+	for _, key := range n.keys() {
+		n.enqueue(key)
+	}
+	return len(n.queue)
+}
+
+// keys are those with something to bring, in an order that depends on nothing else.
+func (n *Node) keys() (out []string) {
+	for key, s := range n.holder.slots {
+		if !isGroupKey(key) && s.Value.Kind != None {
+			out = append(out, key)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+func (n *Node) enqueue(key string) {
+	if !n.queued[key] {
+		n.queued[key] = true
+		n.queue = append(n.queue, key)
+	}
+}
+
+// repair begins to bring keys to their holders, as many as its rate allows.
+func (n *Node) repair(now micro.Time) micro.Time {
+	if len(n.queue) == 0 {
+		n.counted = now
+		return micro.Never
+	}
+	rate := float64(n.cfg.RepairRate)
+	n.tokens = min(n.tokens+float64(now-n.counted)/float64(micro.Second)*rate, max(rate/20, 1)) // 50 ms' worth at once
+	n.counted = now
+	for len(n.queue) > 0 && n.repairs < n.cfg.RepairKeys && n.tokens >= 1 && n.group.Epoch > 0 {
+		key := n.queue[0]
+		n.queue = n.queue[1:]
+		s := n.holder.Slot(key)
+		if s.Value.Kind == None { // its window is over
+			delete(n.owed, key)
+			delete(n.queued, key)
+			continue
+		}
+		n.tokens--
+		n.repairs++
+		n.begin(now, key, Change{Act: Look, At: s.At}, n.group.Holders(key, n.score), true)
+	}
+	if len(n.queue) == 0 || n.repairs >= n.cfg.RepairKeys {
+		return micro.Never
+	}
+	return now + max(micro.Time((1-n.tokens)/rate*float64(micro.Second)), micro.Millisecond)
+}
+
+// Adopt takes up a group that was agreed on. One that is no newer changes nothing; one of another name is an error.
+func (n *Node) Adopt(now micro.Time, g Group) error {
+	if err := g.Check(); err != nil {
+		return err
+	}
+	if n.group.Epoch > 0 && g.Name != n.group.Name {
+		return fmt.Errorf("%w: %x is another than this server's, %x", ErrGroup, g.Name, n.group.Name)
+	}
+	if g.Epoch <= n.group.Epoch {
+		return nil
+	}
+	n.take(g)
+	n.ready.Group = &g
+	for _, p := range g.All() {
+		n.tell(p.ID)
+	}
+	for i := 0; i < len(n.under); i++ {
+		u := n.under[i]
+		if isGroupKey(u.op.Key) { // what it was to be followed by is known now
+			n.deciding = 0
+			n.under = slices.Delete(n.under, i, i+1)
+			i--
+			continue
+		}
+		n.number++
+		u.op.Change.Lost = g.Lost
+		n.ready.Requests = append(n.ready.Requests, u.op.Move(g.Epoch, g.Holders(u.op.Key, n.score), n.number)...)
+		n.number = max(n.number, u.op.Ballot.N)
+		u.again = now + u.wait
+	}
+	return nil
+}
+
+// take goes by a group from now on.
+func (n *Node) take(g Group) {
+	n.group, n.holder.Epoch = g, g.Epoch
+	for key := range n.holder.slots { // requests of earlier epochs are taken no more
+		if isGroupKey(key) && key != groupKey(g.Epoch) {
+			delete(n.holder.slots, key)
+		}
+	}
+	clear(n.marks)
+	clear(n.owed)
+	n.nextMark, n.rejoin = 0, 0
+	if len(g.Next) == 0 {
+		return
+	}
+	// Whatever a majority holds by the groups before has to be held by a majority of those to come. It goes before other repairs:
+	// guards the change against links that come and go, each of which asks for repairs.
+	var queue []string
+	waiting := make(map[string]bool, len(n.queue))
+	for _, key := range n.queue {
+		waiting[key] = true
+	}
+	for _, key := range n.keys() {
+		if s := g.Holders(key, n.score); !same(s[0], s[1]) && n.holder.Slot(key).Moved != g.Epoch {
+			if n.owed[key] = true; !n.queued[key] || waiting[key] {
+				queue = append(queue, key) // else it is under way, and moves on to this group
+			}
+			n.queued[key] = true
+		}
+	}
+	for _, key := range n.queue {
+		if !n.owed[key] {
+			queue = append(queue, key)
+		}
+	}
+	n.queue = queue
+}
+
+func same(a, b []Member) bool {
+	return len(a) == len(b) && !slices.ContainsFunc(a, func(m Member) bool { return !slices.Contains(b, m) })
+}
+
+// Marked takes a member's word that it has brought all it holds to those to come.
+func (n *Node) Mark(m Mark) {
+	if m.Epoch == n.group.Epoch && slices.Contains(members(n.group.Now), m.Of) {
+		n.marks[m.Of] = true
+	}
+}
+
+// change goes on with a change of members; it returns when the next step is due.
+func (n *Node) change(now micro.Time) micro.Time {
+	g := n.group
+	if g.Epoch == 0 {
+		return micro.Never
+	}
+	if len(g.Next) == 0 {
+		// A holder that lost its disk is another member: it takes the place of its old self, by a change like any other.
+		if p, ok := g.Find(n.Self.ID); ok && p.Member != n.Self {
+			if now >= n.rejoin && n.deciding == 0 {
+				n.rejoin = now + rejoinEvery + micro.Time(n.rng.Int64N(int64(rejoinEvery)))
+				next := slices.Clone(g.Now)
+				next[slices.Index(next, p)].Life = n.Self.Life
+				n.decide(now, g.follow(next, fmt.Sprintf("server %d has lost its disk", n.Self.ID)))
+			}
+			return n.rejoin
+		}
+		return micro.Never
+	}
+	// A newcomer that lost its disk on the way will never hold what it is to hold.
+	if p, ok := g.Find(n.Self.ID); ok && !g.Has(n.Self) && now >= n.rejoin && n.deciding == 0 && !slices.Contains(g.Now, p) {
+		n.rejoin = now + rejoinEvery + micro.Time(n.rng.Int64N(int64(rejoinEvery)))
+		n.decide(now, g.back())
+		return n.rejoin
+	}
+	if len(n.owed) > 0 {
+		return micro.Never // repairs have a time of their own
+	}
+	if now < n.nextMark {
+		return n.nextMark
+	}
+	n.nextMark = now + markEvery
+	if slices.Contains(members(g.Now), n.Self) {
+		n.marks[n.Self] = true
+		n.ready.Marks = append(n.ready.Marks, Mark{g.Epoch, n.Self})
+	}
+	// So many members that each key's majority of holders, whichever it was, has one among them; and as each of them goes by this
+	// epoch, no change by an earlier one can have a majority any more.
+	if len(n.marks) >= len(g.Now)-g.Spare() && n.deciding == 0 {
+		n.decide(now, g.settle())
+	}
+	return n.nextMark
+}
+
+func (n *Node) decide(now micro.Time, g Group) {
+	n.deciding = n.begin(now, groupKey(n.group.Epoch), Change{Act: Decide, At: int64(^uint64(0) >> 1), Result: g.String()}, n.group.sets()[:1], false)
+}
+
+// GiveUp ends a change of members that is under way: the members stay as they were.
+func (n *Node) GiveUp(now micro.Time) error {
+	if len(n.group.Next) == 0 {
+		return fmt.Errorf("%w: none is under way", ErrMember)
+	}
+	if n.deciding == 0 {
+		n.decide(now, n.group.back())
+	}
+	return nil
+}
+
+// Propose begins a change of members. Whether it was this one that was agreed on, the group that follows tells.
+func (n *Node) Propose(now micro.Time, next []Peer, why string) error {
+	g := n.group
+	switch {
+	case g.Epoch == 0:
+		return ErrNoGroup
+	case len(g.Next) > 0 || n.deciding != 0:
+		return ErrChanging
+	}
+	f := g.follow(next, why)
+	if err := f.Check(); err != nil {
+		return err
+	}
+	if len(next) == 0 || max(gone(g.Now, next), gone(next, g.Now)) > 1 {
+		return fmt.Errorf("%w: one member at a time", ErrMember)
+	}
+	if slices.Equal(g.Now, next) {
+		return fmt.Errorf("%w: it would change nothing", ErrMember)
+	}
+	n.decide(now, f)
+	return nil
+}
+
+// gone counts the members of a that are not in b.
+func gone(a, b []Peer) (n int) {
+	for _, p := range a {
+		if !slices.ContainsFunc(b, func(o Peer) bool { return o.Member == p.Member }) {
+			n++
+		}
+	}
+	return n
+}
+
+// Found makes the first group of a name, where none is known.
+func (n *Node) Found(now micro.Time, g Group) error {
+	if n.group.Epoch > 0 {
+		return fmt.Errorf("%w: a group is known here, of epoch %d", ErrMember, n.group.Epoch)
+	}
+	if g.Epoch = 1; !slices.Contains(members(g.Now), n.Self) {
+		return fmt.Errorf("%w: this server is not of it", ErrMember)
+	}
+	return n.Adopt(now, g)
+}
+
+// forceSkip is far above what the members that are given up may have agreed on among themselves.
+const forceSkip = 1000
+
+// Force goes on with those members alone, though no majority of the others agrees: an operator's word that they are lost. What
+// only they held is lost with them, so that until lost (Unix milliseconds, with room for callers' clocks) plus a window has passed,
+// nothing is run of which nothing is known.
+func (n *Node) Force(now micro.Time, keep []uint32, lost int64, why string) error {
+	if n.group.Epoch == 0 {
+		return ErrNoGroup
+	}
+	g := Group{Name: n.group.Name, Epoch: n.group.Epoch + forceSkip, Copies: n.group.Copies, Lost: lost, Why: why}
+	for _, p := range n.group.All() {
+		if slices.Contains(keep, p.ID) {
+			g.Now = slices.DeleteFunc(g.Now, func(o Peer) bool { return o.ID == p.ID })
+			g.Now = append(g.Now, p)
+		}
+	}
+	if len(g.Now) != len(keep) || !slices.Contains(members(g.Now), n.Self) {
+		return fmt.Errorf("%w: only members can be kept, this server among them", ErrMember)
+	}
+	if err := n.Adopt(now, g); err != nil {
+		return err
+	}
+	n.Repair()
+	return nil
+}
+
+// Slots are a copy of all that is held.
+func (n *Node) Slots() map[string]Slot { return maps.Clone(n.holder.slots) }
--- a/internal/decide/copies/node_test.go
+++ b/internal/decide/copies/node_test.go
@@ -1,10 +1,13 @@
 package copies
 
 import (
+	"flag"
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -16,28 +19,32 @@
 )
 
 // cluster is a group on a simulated network and simulated disks: messages are late, lost or doubled, halves are cut off from
-// each other, nodes die and come back with what they had made durable, or without it and as another life.
+// each other, nodes die and come back with what they had made durable, or without it and as another life, which takes its old
+// self's place; members come and go.
 type cluster struct {
 	rng     *rand.Rand
 	now     micro.Time
 	nodes   []*sim
-	members []Member
 	net     []sending
 	cut     map[int]bool // on the one side of a partition
 	history []porcupine.Operation
 	runs    map[string]int
-	results map[string]string
 	known   int
+	lossy   bool
+	wipes   int
+	changes int
 }
 
 type sim struct {
 	*Node
-	disk map[string]Slot
-	due  micro.Time
-	asks map[uint64]*call // changes under way, by id
-	dead bool
-	born uint64
-	gone bool // its disk is lost, and no member asks its new life
+	disk  map[string]Slot
+	group Group
+	due   micro.Time
+	hello micro.Time
+	asks  map[uint64]*call // changes under way, by id
+	dead  bool
+	born  uint64
+	lives uint64
 }
 
 type call struct {
@@ -64,43 +71,60 @@
 	result  string
 }
 
-func newCluster(t *testing.T, seed uint64, n int) *cluster {
-	c := &cluster{rng: rand.New(rand.NewPCG(seed, 9)), cut: map[int]bool{}, runs: map[string]int{}, results: map[string]string{}}
-	for i := range n {
-		c.members = append(c.members, Member{uint32(i), 1})
+// hello says which epoch a server goes by, as every frame of a link does.
+type hello uint64
+
+func peer(id int, life uint64) Peer { return Peer{Member{uint32(id), life}, fmt.Sprint("n", id)} }
+
+// newCluster is a group of members and some servers that are not of it.
+func newCluster(t *testing.T, seed uint64, copies, size, spares int) *cluster {
+	c := &cluster{rng: rand.New(rand.NewPCG(seed, 9)), cut: map[int]bool{}, runs: map[string]int{}, lossy: true}
+	g := Group{Name: 7, Epoch: 1, Copies: copies}
+	for i := range size {
+		g.Now = append(g.Now, peer(i+1, 1))
 	}
-	for i := range n {
-		c.nodes = append(c.nodes, &sim{disk: map[string]Slot{}})
-		c.boot(t, i, c.members[i])
+	for i := range size + spares {
+		s := &sim{disk: map[string]Slot{}, lives: 1}
+		if i < size {
+			s.group = g
+		}
+		c.nodes = append(c.nodes, s)
+		c.boot(t, i)
 	}
 	return c
 }
 
-func (c *cluster) boot(t *testing.T, i int, self Member) {
-	s, slots := c.nodes[i], map[string]Slot{}
-	for k, v := range s.disk {
-		slots[k] = v
-	}
+func (c *cluster) boot(t *testing.T, i int) {
+	s := c.nodes[i]
 	var err error
 	s.born++
-	s.Node, err = NewNode(self, s.born, Config{Copies: 3, Wait: 20_000, Most: 300_000, Keys: 8}, c.members, slots, c.rng.Uint64(), xxhash.Sum64String)
+	s.Node, err = NewNode(Member{uint32(i + 1), s.lives}, s.born, Config{Wait: 20_000, Most: 300_000, Keys: 8, RepairRate: 1000, RepairKeys: 8}, s.group, maps.Clone(s.disk), c.rng.Uint64(), xxhash.Sum64String)
 	require.NoError(t, err)
-	s.asks, s.dead = map[uint64]*call{}, false
+	s.asks, s.dead, s.due = map[uint64]*call{}, false, 0
 }
 
-// flush does what a node is ready for. It may die after each step of it.
+// flush does what a node is ready for.
 func (c *cluster) flush(i int) {
 	s := c.nodes[i]
 	r := s.Ready()
+	if r.Group != nil {
+		s.group = *r.Group
+	}
 	for _, k := range r.Save {
 		s.disk[k.Key] = k.Slot
 	}
 	for _, q := range r.Requests {
-		c.post(i, int(q.To.ID), q, s.Self)
+		c.post(i, int(q.To.ID)-1, q, s.Process)
+	}
+	for _, q := range r.Replies {
+		c.post(i, int(q.To.ID)-1, q.Reply, s.Self)
 	}
-	for to, rs := range r.Replies {
-		for _, q := range rs {
-			c.post(i, int(to.ID), q, s.Self)
+	for _, id := range r.Tell {
+		c.post(i, int(id)-1, s.Group(), s.Self)
+	}
+	for _, m := range r.Marks {
+		for to := range c.nodes {
+			c.post(i, to, m, s.Self)
 		}
 	}
 	for _, q := range r.Results {
@@ -114,22 +138,22 @@
 			c.known++
 		}
 		c.history = append(c.history, porcupine.Operation{ClientId: len(c.history), Input: input{a.key, a.change}, Output: out, Call: int64(a.began), Return: int64(end)})
-		if q.Known && q.Verdict == Run && !a.change.Settle {
+		if q.Known && q.Verdict == Run && a.change.Act == Leave {
 			c.runs[a.key]++
-			c.begin(i, a.key, Change{Settle: true, Try: q.Value.Try, At: a.change.At, Window: window, Passed: true, Result: fmt.Sprintf("%s by %v", a.key, s.Self)})
+			c.begin(i, a.key, Change{Act: End, Try: q.Value.Try, At: a.change.At, Window: window, Passed: true, Result: fmt.Sprintf("%s by %v", a.key, s.Process)})
 		}
 	}
 }
 
 func (c *cluster) post(from, to int, m any, who Member) {
-	if c.cut[from] != c.cut[to] || from != to && c.rng.IntN(12) == 0 {
+	if c.cut[from] != c.cut[to] || from != to && c.lossy && c.rng.IntN(12) == 0 {
 		return
 	}
 	for n := 1 + c.rng.IntN(12)/11; n > 0; n-- {
 		late := micro.Time(1)
 		if from != to {
 			late = 200 + micro.Time(c.rng.Int64N(8000))
-			if c.rng.IntN(40) == 0 {
+			if c.lossy && c.rng.IntN(40) == 0 {
 				late += micro.Time(c.rng.Int64N(200_000)) // hangs, and comes all at once with others
 			}
 		}
@@ -143,7 +167,7 @@
 	if err != nil {
 		return
 	}
-	if change.Self = s.Process; !change.Settle {
+	if change.Self = s.Process; change.Act == Leave {
 		change.Try = id
 	}
 	s.asks[id] = &call{key, change, c.now}
@@ -158,7 +182,29 @@
 	c.nodes[i].dead = true
 }
 
-func (c *cluster) step(t *testing.T, wipes *int) {
+// newest is the newest group that any server has on its disk.
+func (c *cluster) newest() (g Group) {
+	for _, s := range c.nodes {
+		if s.group.Epoch > g.Epoch {
+			g = s.group
+		}
+	}
+	return g
+}
+
+// missing counts the members whose disk was lost and whose place is not taken yet.
+func (c *cluster) missing() (n int) {
+	lost := map[uint32]bool{}
+	for _, p := range c.newest().All() {
+		if c.nodes[p.ID-1].lives != p.Life && !lost[p.ID] {
+			lost[p.ID] = true
+			n++
+		}
+	}
+	return n
+}
+
+func (c *cluster) step(t *testing.T) {
 	c.now += 500
 	for i := 0; i < len(c.net); i++ {
 		m := c.net[i]
@@ -175,16 +221,43 @@
 				if k.Ballot.By == s.Process {
 					s.Heard(c.now, k)
 				}
+			case Group:
+				require.NoError(t, s.Adopt(c.now, k))
+			case Mark:
+				s.Mark(k)
+			case hello:
+				if uint64(k) < s.Group().Epoch {
+					c.post(m.to, m.from, s.Group(), s.Self)
+				}
 			}
 			s.due = 0
 		}
 	}
 	for i, s := range c.nodes {
+		if !s.dead && c.now >= s.hello {
+			s.hello = c.now + 50_000
+			to := c.rng.IntN(len(c.nodes))
+			c.post(i, to, hello(s.Group().Epoch), s.Self)
+			s.Linked(uint32(to+1), c.rng.IntN(3) > 0)
+		}
 		if !s.dead && c.now >= s.due {
 			s.due = s.Tick(c.now)
 			c.flush(i)
 		}
 	}
+}
+
+// wipe has a machine lost with its disk.
+func (c *cluster) wipe(i int) {
+	s := c.nodes[i]
+	c.wipes++
+	s.disk, s.group = map[string]Slot{}, Group{}
+	s.lives++
+}
+
+// spoil has something go wrong, now and then: no more than the copies can take.
+func (c *cluster) spoil(t *testing.T) {
+	g := c.newest()
 	switch i := c.rng.IntN(len(c.nodes)); c.rng.IntN(400) {
 	case 0: // a partition, or its end
 		if len(c.cut) > 0 {
@@ -195,18 +268,26 @@
 	case 1, 2:
 		if s := c.nodes[i]; !s.dead {
 			c.lost(i)
-			if *wipes > 0 && c.rng.IntN(3) == 0 { // the machine is lost with its disk: its place stays empty
-				*wipes--
-				s.disk, s.gone = map[string]Slot{}, true
+			if c.missing() < g.Spare() && len(g.Next) == 0 { // the machine is lost with its disk
+				c.wipe(i)
 			}
 		}
-	case 3, 4, 5:
+	case 3, 4, 5, 6:
 		if s := c.nodes[i]; s.dead {
-			self := s.Self // its old self, unless its disk is gone
-			if s.gone {
-				self.Life++
+			c.boot(t, i)
+		}
+	case 7: // an operator adds or removes one
+		if s := c.nodes[i]; !s.dead {
+			next := slices.Clone(s.Group().Now)
+			who := c.rng.IntN(len(c.nodes))
+			if at := slices.IndexFunc(next, func(p Peer) bool { return int(p.ID) == who+1 }); at < 0 {
+				next = append(next, peer(who+1, c.nodes[who].lives))
+			} else if len(next) > g.Copies && c.missing() == 0 {
+				next = slices.Delete(next, at, at+1)
+			}
+			if s.Propose(c.now, next, "an operator") == nil {
+				c.changes++
 			}
-			c.boot(t, i, self)
 		}
 	}
 }
@@ -233,61 +314,205 @@
 	},
 }
 
-// Guards the promise of a group: through losses, doubles, delays, partitions, deaths and a disk lost, no intake runs twice in its
-// window, and all that callers were told of a key fits one order of what happened.
+var seedsMost = flag.Int("seeds", 300, "how many seeds TestGroupIsLinearizable plays")
+
+// Guards the promise of a group: through losses, doubles, delays, partitions, deaths, two disks lost or more and changes of members,
+// no intake runs twice in its window, and all that callers were told of a key fits one order of what happened. Once faults end,
+// each change of members does too.
 func TestGroupIsLinearizable(t *testing.T) {
-	runs, known, served := 0, 0, 0
-	for seed := range uint64(300) {
-		c, wipes := newCluster(t, seed, 5), 1
-		for n := range 4000 {
-			if n < 3000 && c.rng.IntN(25) == 0 {
-				if i := c.rng.IntN(len(c.nodes)); !c.nodes[i].dead {
-					c.begin(i, fmt.Sprintf("lot %d", c.rng.IntN(12)), Change{At: int64(c.rng.IntN(300)), Window: window})
+	var mu sync.Mutex
+	var total struct{ runs, known, served, wipes, changes, epochs int }
+	t.Run("seeds", func(t *testing.T) {
+		for w := range 6 {
+			t.Run(fmt.Sprint(w), func(t *testing.T) {
+				t.Parallel()
+				for seed := uint64(w); seed < uint64(*seedsMost); seed += 6 {
+					c := playGroup(t, seed)
+					mu.Lock()
+					for range c.runs {
+						total.runs++
+					}
+					for _, o := range c.history {
+						if out := o.Output.(output); out.known && out.verdict == Serve {
+							total.served++
+						}
+					}
+					total.known, total.wipes, total.changes, total.epochs = total.known+c.known, total.wipes+c.wipes, total.changes+c.changes, total.epochs+int(c.newest().Epoch)
+					mu.Unlock()
 				}
-			}
-			c.step(t, &wipes)
+			})
 		}
-		for i, s := range c.nodes {
-			if !s.dead {
-				c.lost(i)
+	})
+	t.Logf("%d seeds: %+v", *seedsMost, total)
+	require.Greater(t, total.runs, *seedsMost)
+	require.Greater(t, total.served, 2**seedsMost)
+	require.Greater(t, total.changes, *seedsMost/2)
+}
+
+func playGroup(t *testing.T, seed uint64) *cluster {
+	copies := 3 + 2*int(seed%2)
+	c := newCluster(t, seed, copies, copies+int(seed/2%3), 2)
+	load := func(n int) {
+		if c.rng.IntN(25) == 0 {
+			if i := c.rng.IntN(len(c.nodes)); !c.nodes[i].dead {
+				c.begin(i, fmt.Sprintf("lot %d", n/300*12+c.rng.IntN(12)), Change{At: int64(c.rng.IntN(300)), Window: window})
 			}
 		}
-		for key, n := range c.runs {
-			require.Equal(t, 1, n, "seed %d: %s", seed, key)
-			runs++
+		c.step(t)
+	}
+	for n := range 2500 {
+		load(n)
+		c.spoil(t)
+	}
+	c.settle(t, seed)
+	for c.wipes < 2 { // at the least two disks are lost, one after the other, under load
+		g := c.newest()
+		i := int(g.Now[c.rng.IntN(len(g.Now))].ID) - 1
+		c.lost(i)
+		c.wipe(i)
+		for n := range 300 {
+			load(n) // keys that were there before, too
+		}
+		c.settle(t, seed)
+	}
+	for key, n := range c.runs {
+		require.Equal(t, 1, n, "seed %d: %s", seed, key)
+	}
+	for i, s := range c.nodes {
+		if !s.dead {
+			c.lost(i)
 		}
-		for _, o := range c.history {
-			if out := o.Output.(output); out.known && out.verdict == Serve {
-				served++
+	}
+	if got := porcupine.CheckOperationsTimeout(once, c.history, time.Minute); got != porcupine.Ok {
+		t.Fatalf("seed %d: the history fits no order: %v", seed, got)
+	}
+	return c
+}
+
+// tell prints what all nodes are at.
+func (c *cluster) tell(t *testing.T) {
+	for _, s := range c.nodes {
+		left, _ := s.Repairing()
+		t.Logf("%v: dead %v, epoch %d, %d under way, %d to repair, %d owed, %d marks, deciding %d, held %d", s.Self, s.dead, s.Group().Epoch, s.Under(), left, len(s.owed), s.Marked(), s.deciding, s.Held())
+		for _, u := range s.under {
+			t.Logf("   %q %v accept %v votes %v sets %v again %d until %d now %d", u.op.Key, u.op.Ballot, u.op.accept, u.op.votes, u.op.sets, u.again, u.until, c.now)
+		}
+	}
+}
+
+// settle ends all faults, and has the group come to rest: no change under way, and all that is held at all its holders.
+func (c *cluster) settle(t *testing.T, seed uint64) {
+	clear(c.cut)
+	c.lossy = false
+	for i, s := range c.nodes {
+		if s.dead {
+			c.boot(t, i)
+		}
+	}
+	still := func() bool {
+		g := c.newest()
+		for _, p := range g.Now {
+			s := c.nodes[p.ID-1]
+			if left, _ := s.Repairing(); left > 0 || s.Under() > 0 || s.Group().Epoch != g.Epoch {
+				return false
 			}
 		}
-		known += c.known
-		if got := porcupine.CheckOperationsTimeout(once, c.history, time.Minute); got != porcupine.Ok {
-			t.Fatalf("seed %d: the history fits no order: %v", seed, got)
+		return len(g.Next) == 0 && c.missing() == 0
+	}
+	for n := 0; !still(); n++ {
+		if n > 60_000 { // half a minute of its time
+			c.tell(t)
+			t.Fatalf("seed %d: the group does not come to rest: %v", seed, c.newest())
 		}
+		c.step(t)
 	}
-	t.Logf("%d runs, %d known verdicts, %d of them served", runs, known, served)
-	require.Greater(t, runs, 300)
-	require.Greater(t, served, 1000)
 }
 
 func TestConfig(t *testing.T) {
-	good := Config{Copies: 3, Wait: 10, Most: 100, Keys: 1}
+	good := Config{Wait: 10, Most: 100, Keys: 1, RepairRate: 1, RepairKeys: 1}
 	require.NoError(t, good.Check())
-	for _, f := range []func(*Config){func(c *Config) { c.Copies = 2 }, func(c *Config) { c.Wait = 0 }, func(c *Config) { c.Most = 15 }, func(c *Config) { c.Keys = 0 }} {
+	for _, f := range []func(*Config){func(c *Config) { c.RepairRate = 0 }, func(c *Config) { c.Wait = 0 }, func(c *Config) { c.Most = 15 }, func(c *Config) { c.Keys = 0 }} {
 		c := good
 		f(&c)
 		require.Error(t, c.Check())
 	}
-	_, err := NewNode(Member{}, 1, good, nil, nil, 1, xxhash.Sum64String)
-	require.ErrorContains(t, err, "too few")
-	n, err := NewNode(Member{0, 1}, 1, good, []Member{{0, 1}, {1, 1}, {2, 1}}, nil, 1, xxhash.Sum64String)
+	n, err := NewNode(Member{1, 1}, 1, good, Group{}, nil, 1, xxhash.Sum64String)
 	require.NoError(t, err)
 	_, err = n.Begin(0, "k", Change{Window: 1})
+	require.ErrorIs(t, err, ErrNoGroup)
+	three := []Peer{peer(1, 1), peer(2, 1), peer(3, 1)}
+	require.NoError(t, n.Found(0, Group{Name: 7, Copies: 3, Now: three}))
+	require.ErrorIs(t, n.Found(0, Group{Name: 8, Copies: 3, Now: three}), ErrMember, "there is one")
+	require.ErrorIs(t, n.Adopt(0, Group{Name: 8, Epoch: 9, Copies: 3, Now: three}), ErrGroup, "a stranger's")
+	require.Equal(t, []uint32{2, 3}, n.Ready().Tell)
+	_, err = n.Begin(0, "k", Change{Window: 1})
 	require.NoError(t, err)
 	_, err = n.Begin(0, "j", Change{Window: 1})
 	require.ErrorIs(t, err, ErrBusy)
 	require.Equal(t, micro.Time(10), n.Tick(0))
-	require.Equal(t, micro.Never, n.Tick(100))
+	n.Tick(100)
 	require.Equal(t, []Result{{ID: 1, Key: "k"}}, n.Ready().Results, "nobody answered: it is not known")
+	require.ErrorIs(t, n.Propose(100, three[:1], ""), ErrMember, "two at once")
+	require.ErrorIs(t, n.Propose(100, three, ""), ErrMember, "none at all")
+	require.NoError(t, n.Propose(100, three[:2], ""))
+	require.ErrorIs(t, n.Propose(100, three[1:], ""), ErrChanging)
+}
+
+// A group is its text.
+func TestGroupText(t *testing.T) {
+	for _, g := range []Group{
+		{Name: 1, Epoch: 2, Copies: 3, Now: []Peer{peer(1, 5), peer(2, 6)}, Why: "a \"why\" | of words\n"},
+		{Name: 1 << 63, Epoch: 1 << 40, Copies: 5, Now: []Peer{peer(1, 5)}, Next: []Peer{peer(1, 5), peer(9, 1<<63)}, Lost: 99},
+	} {
+		got, err := Parse(g.String())
+		require.NoError(t, err)
+		require.Equal(t, g, got)
+	}
+	for _, text := range []string{"", "1 2 3 0 | 1 | | \"\"", "1 2 4 0 | 1 1 a | | \"\"", "1 2 3 0 | 1 1 a 1 2 b | | \"\"", "1 2 3 0 | x 1 a | | \"\"", "1 2 3 0 | 1 1 a | | no"} {
+		_, err := Parse(text)
+		require.ErrorIs(t, err, ErrGroup, text)
+	}
+}
+
+// Guards what runs after an operator went on without a majority: nothing of which nothing is known, until a window has passed.
+func TestForced(t *testing.T) {
+	c := newCluster(t, 1, 3, 3, 0)
+	c.lossy = false
+	for i := range 40 {
+		c.begin(i%3, fmt.Sprint("lot ", i), Change{At: int64(100 + i), Window: window})
+		for range 200 {
+			c.step(t)
+		}
+	}
+	require.Len(t, c.runs, 40)
+	for _, i := range []int{1, 2} {
+		c.lost(i)
+	}
+	s := c.nodes[0]
+	require.ErrorIs(t, s.Force(c.now, []uint32{2, 3}, 5000, "two lost"), ErrMember, "not without itself")
+	require.NoError(t, s.Force(c.now, []uint32{1}, 5000, "two lost"))
+	ask := func(key string, at int64) Result {
+		id, err := s.Begin(c.now, key, Change{At: at, Window: window})
+		require.NoError(t, err)
+		for {
+			s.Tick(c.now)
+			r := s.Ready()
+			for _, q := range r.Requests {
+				s.Asked(s.Process, q)
+			}
+			for _, q := range s.Ready().Replies {
+				s.Heard(c.now, q.Reply)
+			}
+			for _, q := range r.Results {
+				if q.ID == id {
+					return q
+				}
+			}
+			c.now += 500
+		}
+	}
+	require.Equal(t, Serve, ask("lot 3", 200).Verdict, "its copy is there")
+	require.Equal(t, Unknown, ask("new", 5999).Verdict)
+	require.Equal(t, Unknown, ask("lot 3", 4000).Verdict, "a later run of it may be lost")
+	require.Equal(t, Run, ask("new", 6000).Verdict)
 }
