Try each hard case of copied intakes with real processes, and mend what that found

Found, each followed through the servers' logs: - a result was not copied though its holders lived (TestOwnerStalledInItsRun): servers that only looked at the key raised its ballot every 50 ms, and who had been turned away waited up to 460 ms with a number that was too low by then. A look now asks without a promise, and is done where a majority holds one ballot; waits begin short; a result that no majority took is tried again by itself. - a repeat at a group's only server heard that nobody knows (TestMajorityLost): the word came before the core had parked the try. - a test's server could find its port taken by a connection: ports now come from below the system's range.

--- a/cmd/pewterline/main.go
+++ b/cmd/pewterline/main.go
@@ -45,7 +45,8 @@
 	debug.SetMemoryLimit(cfg.Memory / 2)
 	runtime.GOMAXPROCS(2)
 	clock, logf := micro.NewClock(), newCapped().Logf
-	srv, err := edge.New(cfg, clock, logf)
+	wall := wallOf(clock)
+	srv, err := edge.New(cfg, wall, logf)
 	if err != nil {
 		return err
 	}
@@ -64,7 +65,7 @@
 		}
 	}
 	if cfg.Copies.ID != 0 {
-		held, err := holdings.Open(holdings.Config(cfg.Copies), clock.UnixMilli, srv.Window(), logf)
+		held, err := holdings.Open(holdings.Config(cfg.Copies), wall.UnixMilli, srv.Window(), logf)
 		if err != nil {
 			return err
 		}
--- a/internal/decide/copies/copies.go
+++ b/internal/decide/copies/copies.go
@@ -63,6 +63,7 @@
 	At     int64  // of the try that it is for: by that the key is forgotten
 	Ballot Ballot
 	Accept bool  // Value; else only the promise and what is held are wanted
+	Peek   bool  // what is held, and no promise
 	Value  Value // of Accept
 }
 
@@ -73,6 +74,7 @@
 	Epoch    uint64 // that the holder goes by; it takes no request of another one
 	Ballot   Ballot // of the request
 	Accept   bool
+	Peek     bool
 	OK       bool
 	Promised Ballot // where it is not OK: what stands in the way
 	Accepted Ballot // of Value
@@ -109,10 +111,14 @@
 		return Reply{}, false, false
 	}
 	s := h.slots[r.Key]
-	out := Reply{From: h.Self, Key: r.Key, Epoch: h.Epoch, Ballot: r.Ballot, Accept: r.Accept}
+	out := Reply{From: h.Self, Key: r.Key, Epoch: h.Epoch, Ballot: r.Ballot, Accept: r.Accept, Peek: r.Peek}
 	if r.Epoch != h.Epoch {
 		return out, false, true
 	}
+	if r.Peek {
+		out.OK, out.Accepted, out.Value = true, s.Accepted, s.Value
+		return out, false, true
+	}
 	if r.Ballot.Less(s.Promised) && !(planted.Bug(planted.CopyPromise) && r.Accept) {
 		out.Promised = s.Promised
 		return out, false, true
@@ -251,6 +257,7 @@
 	Epoch   uint64
 	sets    [][]Member // a majority of each is needed: while a group changes, there are two
 	all     bool       // and, if they answer in time, all of them
+	peek    bool       // the round before both, of a look: where holders agree, neither is needed
 	accept  bool       // the second of both rounds
 	votes   []Member
 	newest  Ballot
@@ -262,14 +269,14 @@
 
 // NewOp begins a change at the holders of a key; n is a number above any that this server has used for it.
 func NewOp(key string, epoch uint64, sets [][]Member, c Change, n uint64) (*Op, []Request) {
-	o := &Op{Key: key, Change: c, Epoch: epoch, sets: sets}
-	return o, o.Again(n)
+	o := &Op{Key: key, Change: c, Epoch: epoch, sets: sets, Ballot: Ballot{n, c.Self}, peek: c.Act == Look}
+	return o, o.ask()
 }
 
 // Again begins the change anew, under a number of at least n that stands above what was in the way.
 func (o *Op) Again(n uint64) []Request {
 	o.Ballot = Ballot{max(n, o.seen+1), o.Change.Self}
-	o.accept, o.votes, o.newest, o.value = false, nil, Ballot{}, Value{}
+	o.peek, o.accept, o.votes, o.newest, o.value = false, false, nil, Ballot{}, Value{}
 	return o.ask()
 }
 
@@ -285,7 +292,7 @@
 		for _, m := range set {
 			if !slices.Contains(asked, m) {
 				asked = append(asked, m)
-				out = append(out, Request{To: m, Key: o.Key, Epoch: o.Epoch, At: o.Change.At, Ballot: o.Ballot, Accept: o.accept, Value: o.value})
+				out = append(out, Request{To: m, Key: o.Key, Epoch: o.Epoch, At: o.Change.At, Ballot: o.Ballot, Accept: o.accept, Peek: o.peek, Value: o.value})
 			}
 		}
 	}
@@ -320,7 +327,7 @@
 
 // Heard takes a reply; it returns what to ask next. Replies to earlier attempts and repeated ones change nothing.
 func (o *Op) Heard(r Reply) []Request {
-	if o.over || r.Key != o.Key || r.Ballot != o.Ballot || r.Accept != o.accept || r.Epoch != o.Epoch ||
+	if o.over || r.Key != o.Key || r.Ballot != o.Ballot || r.Accept != o.accept || r.Peek != o.peek || r.Epoch != o.Epoch ||
 		!slices.ContainsFunc(o.sets, func(set []Member) bool { return slices.Contains(set, r.From) }) {
 		return nil
 	}
@@ -332,6 +339,9 @@
 		return nil
 	}
 	o.votes = append(o.votes, r.From)
+	if o.peek {
+		return o.peeked(r)
+	}
 	if !o.accept && o.newest.Less(r.Accepted) && !(planted.Bug(planted.CopyFirst) && o.value.Kind != None) {
 		o.newest, o.value = r.Accepted, r.Value
 	}
@@ -352,6 +362,22 @@
 	return nil
 }
 
+// peeked takes a holder's word in the round before both. Where a majority holds what was accepted under one ballot, that is agreed on,
+// and nothing newer was when the look began: a newer change would have a majority too, and one of its holders would have said so.
+// Guards whoever changes a key against those that only look at it, each of which would stand in its way with a ballot of its own.
+func (o *Op) peeked(r Reply) []Request {
+	if len(o.votes) > 1 && r.Accepted != o.newest {
+		o.peek, o.votes, o.newest, o.value = false, nil, Ballot{}, Value{}
+		return o.ask()
+	}
+	o.newest, o.value = r.Accepted, r.Value
+	if o.agreed(o.all) {
+		o.value, o.verdict = o.Change.Apply(o.value)
+		o.over = true
+	}
+	return nil
+}
+
 // Enough ends a change that waits for those that have not answered, beyond a majority. It returns whether it is over.
 func (o *Op) Enough() bool {
 	o.over = o.over || o.accept && o.agreed(false)
--- a/internal/decide/copies/copies_test.go
+++ b/internal/decide/copies/copies_test.go
@@ -73,7 +73,7 @@
 	for _, s := range g.servers {
 		num(s.life, uint64(s.attempts), yes(s.ran), yes(s.ended))
 		if o := s.op; o != nil {
-			num(uint64(o.Change.Act), yes(o.accept), yes(o.over), uint64(o.verdict), o.seen, uint64(len(o.votes)))
+			num(uint64(o.Change.Act), yes(o.accept), yes(o.peek), yes(o.over), uint64(o.verdict), o.seen, uint64(len(o.votes)))
 			ballot(o.Ballot)
 			ballot(o.newest)
 			value(o.value)
@@ -180,7 +180,7 @@
 			for h := range g.holders {
 				add(fmt.Sprintf("holder %d answers server %d", h, i), func(n *group) {
 					op := n.servers[i].op
-					if r, ok := n.reach(h, Request{Key: "k", Ballot: op.Ballot, Accept: op.accept, Value: op.value}); ok {
+					if r, ok := n.reach(h, Request{Key: "k", Ballot: op.Ballot, Accept: op.accept, Peek: op.peek, Value: op.value}); ok {
 						n.sent(op.Heard(r))
 					}
 				})
--- a/internal/decide/copies/node.go
+++ b/internal/decide/copies/node.go
@@ -123,12 +123,13 @@
 
 // underway is a change under way.
 type underway struct {
-	id     uint64
-	op     *Op
-	repair bool
-	again  micro.Time // the next attempt is due
-	until  micro.Time
-	wait   micro.Time
+	id      uint64
+	op      *Op
+	repair  bool
+	again   micro.Time // the next attempt is due
+	blocked int        // times that somebody else stood in its way
+	until   micro.Time
+	wait    micro.Time
 }
 
 // NewNode returns a node with the group and the slots that it had made durable; none, as a life without a disk has. process is
@@ -228,8 +229,10 @@
 	if _, _, done := u.op.Done(); done {
 		n.end(now, i)
 	} else if u.op.Blocked() {
-		// Somebody else is at this key. Who waits for how long is drawn, so that two don't go on standing in each other's way.
-		u.again = min(u.again, now+1+micro.Time(n.rng.Int64N(int64(u.wait))))
+		// Somebody else is at this key. Who waits for how long is drawn, and longer each time, so that two don't go on standing in
+		// each other's way; at first it is short, as the number that is known now will be too low after a while.
+		u.blocked++
+		u.again = min(u.again, now+1+micro.Time(n.rng.Int64N(int64(min(n.cfg.Wait>>5<<min(u.blocked, 10), n.cfg.Most)+1))))
 	}
 }
 
--- a/internal/decide/copies/node_test.go
+++ b/internal/decide/copies/node_test.go
@@ -357,7 +357,8 @@
 	load := func(n int) {
 		if c.rng.IntN(25) == 0 {
 			if i := c.rng.IntN(len(c.nodes)); !c.nodes[i].dead {
-				c.begin(i, fmt.Sprintf("lot %d", n/300*12+c.rng.IntN(12)), Change{At: int64(c.rng.IntN(300)), Window: window})
+				act := []Act{Leave, Leave, Look}[c.rng.IntN(3)]
+				c.begin(i, fmt.Sprintf("lot %d", n/300*12+c.rng.IntN(12)), Change{Act: act, At: int64(c.rng.IntN(300)), Window: window})
 			}
 		}
 		c.step(t)
--- a/internal/decide/ledger/ledger.go
+++ b/internal/decide/ledger/ledger.go
@@ -15,7 +15,8 @@
 	Asking                 // for the leave to run
 	Running                // it was handed to the worker pool, or is about to be
 	Copying                // its end is on its way to the holders
-	Uncopied               // its end is known here alone: no majority took it in time
+	Uncopied               // its end is known here alone: no majority took it in time. It is tried again
+	Copied                 // a majority holds its end
 	Elsewhere              // another process has the leave; it is looked at again until somebody is owed an answer
 	Looking                // that look is under way
 	Voiding                // a leave that came to nothing is taken back
@@ -53,7 +54,7 @@
 	Start                     // the run
 	Copy                      // the run's end to the holders
 	Look                      // at the register, now
-	Later                     // at the register, after a while
+	Later                     // at the register after a while; of Uncopied: copy again
 	TakeBack                  // the leave
 	Serve                     // the agreed result
 	SayFailed                 // the run has failed
@@ -133,11 +134,20 @@
 	case Copying:
 		switch e {
 		case Found:
-			return to(Idle, Serve)
+			return to(Copied, Serve)
 		case FoundBad:
-			return to(Idle, SayFailed)
-		case NoAnswer, Lost:
-			return to(Uncopied, SayUncopied)
+			return to(Copied, SayFailed)
+		case NoAnswer:
+			return to(Uncopied, SayUncopied, Later)
+		case Lost: // its window is over, and somebody else has run it in another
+			return to(Idle, SayUncopied)
+		}
+	case Copied:
+		switch e {
+		case Passed: // a repeat, whose core has not heard of it
+			return to(Copied, Serve)
+		case Try:
+			return to(Asking, Ask)
 		}
 	case Uncopied:
 		switch e {
--- a/internal/holdings/disk.go
+++ b/internal/holdings/disk.go
@@ -15,8 +15,7 @@
 )
 
 const (
-	recordBytes   = 256 << 10 // of slots in one record, about
-	snapshotLeast = 8 << 20   // bytes of records before a snapshot takes their place
+	recordBytes = 256 << 10 // of slots in one record, about
 )
 
 // disk is what a server holds, on its disk. What it has in memory here is what is durable; it belongs to the committer's goroutine.
@@ -135,9 +134,10 @@
 			then()
 		})
 	})
-	if r.Forget == 0 {
-		return
-	}
+}
+
+// tidy has a snapshot take the place of the records, where there are enough of them.
+func (d *disk) tidy(tell func(func()) error, failed func(error)) {
 	d.log.Do(d.compact, func(err error) {
 		if err != nil {
 			d.onLoop(tell, func() { failed(err) })
--- a/internal/holdings/holdings.go
+++ b/internal/holdings/holdings.go
@@ -30,8 +30,9 @@
 }
 
 const (
-	lookEvery   = 50 * micro.Millisecond // at a run of another server
-	reopenEvery = 2 * micro.Second       // a disk that failed
+	lookEvery   = 50 * micro.Millisecond // at a run of another server, at first
+	lookMost    = 400 * micro.Millisecond
+	reopenEvery = 2 * micro.Second // a disk that failed
 	forgetEvery = micro.Second
 	// Room for wall clocks that are apart, and for messages on their way, before what is past its window is forgotten.
 	forgetSlack = 60_000
@@ -100,8 +101,10 @@
 	window  int64
 	try     uint64 // of the leave
 	due     micro.Time
-	again   micro.Time // Elsewhere: the next look
+	again   micro.Time // Elsewhere: the next look; Uncopied: the next copy
+	wait    micro.Time // until the one after that
 	op      uint64
+	theirs  int64 // when the try came that has the leave elsewhere; 0: not known
 	passed  bool
 	result  string
 	done    func(Outcome)
@@ -207,7 +210,7 @@
 	}
 	next := h.forget
 	for _, e := range h.due(now) {
-		if now >= e.due {
+		if now >= e.due && e.State != ledger.Uncopied {
 			h.move(e, ledger.Due, copies.Value{})
 		} else {
 			h.move(e, ledger.Again, copies.Value{})
@@ -226,8 +229,11 @@
 
 // next is when something is due for an entry that is under way.
 func (e *entry) next() micro.Time {
-	if e.State == ledger.Elsewhere {
+	switch e.State {
+	case ledger.Elsewhere:
 		return min(e.again, e.due)
+	case ledger.Uncopied: // nobody may be waiting: it is a promise to those who come
+		return e.again
 	}
 	return e.due
 }
@@ -371,14 +377,18 @@
 func (h *Holdings) sweep(now micro.Time) {
 	before := h.wall(now) - h.window - forgetSlack
 	for name, e := range h.keys {
-		if e.touched < before && (e.State == ledger.Idle || e.State == ledger.Uncopied) {
+		if e.touched < before && (e.State == ledger.Idle || e.State == ledger.Uncopied || e.State == ledger.Copied) {
 			delete(h.keys, name)
+			delete(h.active, e)
 		}
 	}
 	if !h.broken {
-		h.node.Forget(before)
 		d := h.disk
-		d.write(copylink.Record{Forget: max(before, 1)}, h.loop.Execute, func() {}, func(err error) { h.failed(d, err) })
+		failed := func(err error) { h.failed(d, err) }
+		if h.node.Forget(before) > 0 {
+			d.write(copylink.Record{Forget: max(before, 1)}, h.loop.Execute, func() {}, failed)
+		}
+		d.tidy(h.loop.Execute, failed)
 	}
 }
 
@@ -388,11 +398,11 @@
 	e := h.keys[key]
 	if e == nil {
 		h.last++
-		e = &entry{name: key, number: h.last}
+		e = &entry{name: key, number: h.last, wait: lookEvery}
 		h.keys[key] = e
 	}
 	e.at, e.window, e.due, e.done, e.touched = at, window, due, done, max(at, e.touched)
-	if e.State != ledger.Idle && e.State != ledger.Voiding { // the core has one run of a key at a time
+	if e.State != ledger.Idle && e.State != ledger.Voiding && e.State != ledger.Copied { // the core has one run of a key at a time
 		h.logf("holdings: %q is asked for while it is in state %d", key, e.State)
 		h.say(e, ledger.SayUnknown, copies.Value{})
 		return
@@ -410,7 +420,7 @@
 // End puts the end of a run on record. done is called once, on the loop: with Serve, SayFailed or SayUncopied.
 func (h *Holdings) End(key string, passed bool, result []byte, done func(Outcome)) {
 	e := h.keys[key]
-	if e == nil || e.State != ledger.Running && e.State != ledger.Uncopied {
+	if e == nil || e.State != ledger.Running && e.State != ledger.Uncopied && e.State != ledger.Copied && e.State != ledger.Copying {
 		h.logf("holdings: a run of %q ends that had no leave", key)
 		done(Outcome{Do: ledger.SayUncopied})
 		return
@@ -429,7 +439,7 @@
 // a run's way, Serve, SayFailed, or SayUnknown.
 func (h *Holdings) Look(key string, at, window int64, due micro.Time, done func(Outcome)) {
 	h.last++
-	h.move(&entry{name: key, number: h.last, looks: true, at: at, window: window, due: due, done: done, Key: ledger.Key{State: ledger.Elsewhere}}, ledger.Again, copies.Value{})
+	h.move(&entry{name: key, number: h.last, looks: true, wait: lookEvery, at: at, window: window, due: due, done: done, Key: ledger.Key{State: ledger.Elsewhere}}, ledger.Again, copies.Value{})
 }
 
 // Holds says that this server holds something of a key that a try of that time has to hear of.
@@ -441,6 +451,9 @@
 // move takes an intake a step on.
 func (h *Holdings) move(e *entry, ev ledger.Event, v copies.Value) {
 	was := e.State
+	if v.Kind == copies.Intent {
+		e.theirs = v.At
+	}
 	if e.looks && was == ledger.Looking && ev == ledger.Nothing {
 		delete(h.active, e)
 		h.say(e, ledger.Start, v)
@@ -448,7 +461,7 @@
 	}
 	does := e.Step(ev)
 	switch e.State {
-	case ledger.Elsewhere, ledger.Asking, ledger.Looking:
+	case ledger.Elsewhere, ledger.Asking, ledger.Looking, ledger.Uncopied:
 		h.active[e] = struct{}{}
 	default:
 		delete(h.active, e)
@@ -464,7 +477,8 @@
 		case ledger.Look:
 			h.begin(e, copies.Change{Act: copies.Look, At: e.at, Window: e.window})
 		case ledger.Later:
-			e.again = h.loop.Now() + lookEvery
+			e.again = h.loop.Now() + e.wait
+			e.wait = min(2*e.wait, lookMost)
 		case ledger.Copy:
 			h.begin(e, copies.Change{Act: copies.End, Try: e.try, At: e.at, Window: e.window, Passed: e.passed, Result: e.result})
 		case ledger.TakeBack:
@@ -487,8 +501,8 @@
 	o := Outcome{Do: d, Value: v}
 	switch d {
 	case ledger.SayUnknown:
-		if h.count.Unknown++; v.At != 0 {
-			o.Until = v.At + e.window
+		if h.count.Unknown++; e.theirs != 0 {
+			o.Until = e.theirs + e.window
 		}
 	case ledger.SayUncopied:
 		h.count.Uncopied++
--- a/internal/holdings/open_faults.go
+++ b/internal/holdings/open_faults.go
@@ -1,4 +1,4 @@
-//go:build diskfaults
+//go:build faults
 
 package holdings
 
@@ -17,6 +17,9 @@
 // 100 ms.
 func open(folder string) wal.FS { return &badDisk{FS: wal.Dir(folder), fault: folder + ".fault"} }
 
+// snapshotLeast is small, so that tests get to see snapshots.
+const snapshotLeast = 4 << 10
+
 type badDisk struct {
 	wal.FS
 	fault string
--- a/internal/procs/group.go
+++ b/internal/procs/group.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"net/url"
 	"os"
 	"path/filepath"
 	"strings"
@@ -103,7 +104,7 @@
 	}
 }
 
-// Cut has nothing that a server sends reach the others, in whichever direction a link was opened.
+// Mute has nothing that a server sends reach the others, in whichever direction a link was opened.
 func (g *Group) Mute(id int) {
 	for _, m := range g.Servers {
 		if m.ID != id {
@@ -156,7 +157,7 @@
 // Wipe loses the disk of a server whose process has ended.
 func (g *Group) Wipe(id int) error { return os.RemoveAll(g.Servers[id-1].Folder) }
 
-// Fault has the disk of a server fail, where the program is built with the tag diskfaults; "" heals it.
+// Fault has the disk of a server fail, where the program is built with the tag faults; "" heals it.
 func (g *Group) Fault(id int, what string) error {
 	path := g.Servers[id-1].Folder + ".fault"
 	if what == "" {
@@ -169,6 +170,41 @@
 	return os.WriteFile(path, []byte(what), 0o600)
 }
 
+// Wall has a server's wall clock off by so many milliseconds from now on, where the program is built with the tag faults.
+func (g *Group) Wall(id, ms int) error {
+	return os.WriteFile(filepath.Join(g.Servers[id-1].Dir, "wall"), []byte(fmt.Sprint(ms)), 0o600)
+}
+
+// Stall stops a server's process; Wake has it go on.
+func (g *Group) Stall(id int) error { return g.Servers[id-1].Process.Signal(syscall.SIGSTOP) }
+
+// Wake has a stalled process go on.
+func (g *Group) Wake(id int) error { return g.Servers[id-1].Process.Signal(syscall.SIGCONT) }
+
+// Kept is a key that a server holds.
+type Kept struct {
+	Key, Kind string
+	Owner     uint32
+}
+
+// Export is what a server holds.
+func (g *Group) Export(id int) (out []Kept, err error) {
+	for after := ""; ; {
+		status, body, err := g.Servers[id-1].Process.Call(http.MethodGet, "/control/copies/export?after="+url.QueryEscape(after))
+		if err == nil && status != http.StatusOK {
+			err = fmt.Errorf("procs: export: %d: %s", status, body)
+		}
+		var some []Kept
+		if err == nil {
+			err = json.Unmarshal([]byte(body), &some)
+		}
+		if err != nil || len(some) == 0 {
+			return out, err
+		}
+		out, after = append(out, some...), some[len(some)-1].Key
+	}
+}
+
 // State is what a server says of its group.
 type State struct {
 	ID       uint32 `json:"id"`
--- a/internal/procs/pool.go
+++ b/internal/procs/pool.go
@@ -69,6 +69,7 @@
 	conn    net.Conn
 	notice  uint64
 	hold    bool
+	frozen  bool
 	held    map[string]string // bodies of runs that wait, by ID
 	started chan string       // bodies, as their runs begin
 	took    time.Duration     // of a run on one of slots; 0: none
@@ -110,6 +111,13 @@
 	p.hold = true
 }
 
+// Freeze has the worker pool read nothing more: commands stay on their way.
+func (p *Pool) Freeze() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.frozen = true
+}
+
 // Slow has each run from now on take a while on one of so many slots.
 func (p *Pool) Slow(slots int, took time.Duration) {
 	p.mu.Lock()
@@ -176,6 +184,10 @@
 			continue
 		}
 		p.mu.Lock()
+		if p.frozen {
+			p.mu.Unlock()
+			return
+		}
 		switch k.Order {
 		case pool.Bind:
 			_, _ = c.Write([]byte("bound LOADED 60000\r\n"))
--- a/internal/procs/procs.go
+++ b/internal/procs/procs.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -15,6 +16,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -76,14 +78,26 @@
 	return s.b.String()
 }
 
+// ports are given out once each, from below those that the system gives to connections: guards a server that is to listen against a
+// connection of another test's that got its port meanwhile. Tests of other packages begin elsewhere.
+var ports atomic.Uint32
+
+const (
+	portFirst = 10_000
+	portCount = 22_000
+)
+
+func init() { ports.Store(rand.Uint32N(portCount)) }
+
 // FreeAddress is an address of the loopback on which nothing listens now.
 func FreeAddress() (string, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	for range portCount {
+		addr := fmt.Sprintf("127.0.0.1:%d", portFirst+ports.Add(1)%portCount)
+		if ln, err := net.Listen("tcp", addr); err == nil {
+			return addr, ln.Close()
+		}
 	}
-	defer ln.Close()
-	return ln.Addr().String(), nil
+	return "", errors.New("procs: no port is free")
 }
 
 // Start starts a process. change may alter its configuration.
@@ -111,7 +125,7 @@
 		return nil, err
 	}
 	p.cmd = exec.Command(s.Program)
-	p.cmd.Env = append(os.Environ(), "TMPDIR="+s.Dir, "RELAY_CONFIG="+p.Config, "RELAY_NAME=", "RELAY_LISTEN=", "RELAY_ADMIN=", "RELAY_AJP=", "RELAY_STORE="+s.Store, "RELAY_COPIES="+s.Copies, "RELAY_FLEET=")
+	p.cmd.Env = append(os.Environ(), "TMPDIR="+s.Dir, "RELAY_CONFIG="+p.Config, "RELAY_NAME=", "RELAY_LISTEN=", "RELAY_ADMIN=", "RELAY_AJP=", "RELAY_STORE="+s.Store, "RELAY_COPIES="+s.Copies, "RELAY_FLEET=", "WALL_FAULT="+filepath.Join(s.Dir, "wall"))
 	p.cmd.Dir = s.Dir
 	p.cmd.Stderr = &p.log
 	if err := p.cmd.Start(); err != nil {
--- a/internal/protocol/copylink/copylink.go
+++ b/internal/protocol/copylink/copylink.go
@@ -81,6 +81,7 @@
 	Ballot ballot `cbor:"5,keyasint"`
 	Accept bool   `cbor:"6,keyasint,omitempty"`
 	Value  *value `cbor:"7,keyasint,omitempty"`
+	Peek   bool   `cbor:"8,keyasint,omitempty"`
 }
 
 type reply struct {
@@ -93,6 +94,7 @@
 	Promised *ballot `cbor:"7,keyasint,omitempty"`
 	Accepted *ballot `cbor:"8,keyasint,omitempty"`
 	Value    *value  `cbor:"9,keyasint,omitempty"`
+	Peek     bool    `cbor:"10,keyasint,omitempty"`
 }
 
 type mark struct {
@@ -176,10 +178,10 @@
 		return out, fmt.Errorf("%w: over %d items", ErrSize, MaxItems)
 	}
 	for _, r := range m.Requests {
-		w.Requests = append(w.Requests, request{toMember(r.To), []byte(r.Key), r.Epoch, r.At, toBallot(r.Ballot), r.Accept, toValue(r.Value)})
+		w.Requests = append(w.Requests, request{toMember(r.To), []byte(r.Key), r.Epoch, r.At, toBallot(r.Ballot), r.Accept, toValue(r.Value), r.Peek})
 	}
 	for _, r := range m.Replies {
-		w.Replies = append(w.Replies, reply{toMember(r.From), []byte(r.Key), r.Epoch, toBallot(r.Ballot), r.Accept, r.OK, someBallot(r.Promised), someBallot(r.Accepted), toValue(r.Value)})
+		w.Replies = append(w.Replies, reply{toMember(r.From), []byte(r.Key), r.Epoch, toBallot(r.Ballot), r.Accept, r.OK, someBallot(r.Promised), someBallot(r.Accepted), toValue(r.Value), r.Peek})
 	}
 	if m.Group != nil {
 		w.Group = m.Group.String()
@@ -231,13 +233,13 @@
 		if err := bounds(len(r.Key), r.Value); err != nil {
 			return m, 0, err
 		}
-		m.Requests = append(m.Requests, copies.Request{To: r.To.member(), Key: string(r.Key), Epoch: r.Epoch, At: r.At, Ballot: r.Ballot.ballot(), Accept: r.Accept, Value: r.Value.value()})
+		m.Requests = append(m.Requests, copies.Request{To: r.To.member(), Key: string(r.Key), Epoch: r.Epoch, At: r.At, Ballot: r.Ballot.ballot(), Accept: r.Accept, Peek: r.Peek, Value: r.Value.value()})
 	}
 	for _, r := range w.Replies {
 		if err := bounds(len(r.Key), r.Value); err != nil {
 			return m, 0, err
 		}
-		m.Replies = append(m.Replies, copies.Reply{From: r.From.member(), Key: string(r.Key), Epoch: r.Epoch, Ballot: r.Ballot.ballot(), Accept: r.Accept, OK: r.OK,
+		m.Replies = append(m.Replies, copies.Reply{From: r.From.member(), Key: string(r.Key), Epoch: r.Epoch, Ballot: r.Ballot.ballot(), Accept: r.Accept, Peek: r.Peek, OK: r.OK,
 			Promised: r.Promised.orNone(), Accepted: r.Accepted.orNone(), Value: r.Value.value()})
 	}
 	if w.Group != "" {
--- a/internal/protocol/copylink/copylink_test.go
+++ b/internal/protocol/copylink/copylink_test.go
@@ -18,8 +18,8 @@
 	v := copies.Value{Kind: copies.Passed, Owner: 3, Life: 4, Try: 5, At: 1764547200000, Result: "did \xff it"}
 	g := copies.Group{Name: 7, Epoch: 2, Copies: 3, Now: []copies.Peer{{Member: m, Addr: "127.0.0.1:1"}}, Why: "be\"cause"}
 	return Message{Hello: &Hello{3, 4, 5, 6}, Epoch: 2,
-		Requests: []copies.Request{{To: m, Key: "t\x00\xffk", Epoch: 2, At: 8, Ballot: b}, {To: m, Key: "k", Epoch: 2, At: 8, Ballot: b, Accept: true, Value: v}},
-		Replies:  []copies.Reply{{From: m, Key: "k", Epoch: 2, Ballot: b, Promised: b}, {From: m, Key: "k", Epoch: 2, Ballot: b, Accept: true, OK: true, Accepted: b, Value: v}},
+		Requests: []copies.Request{{To: m, Key: "t\x00\xffk", Epoch: 2, At: 8, Ballot: b, Peek: true}, {To: m, Key: "k", Epoch: 2, At: 8, Ballot: b, Accept: true, Value: v}},
+		Replies:  []copies.Reply{{From: m, Key: "k", Epoch: 2, Ballot: b, Promised: b, Peek: true}, {From: m, Key: "k", Epoch: 2, Ballot: b, Accept: true, OK: true, Accepted: b, Value: v}},
 		Group:    &g, Marks: []copies.Mark{{Epoch: 2, Of: m}}}
 }
 
--- a/internal/routing/record.go
+++ b/internal/routing/record.go
@@ -116,6 +116,9 @@
 		return false
 	}
 	in := Intake{Class: q.Class, Tenant: q.Tenant, Once: q.Once, At: q.At, AtMilli: q.AtMilli, Retry: q.Retry}
+	// First, as the word may come at once: a group of one server asks nobody else.
+	q.state = joined
+	c.parked = append(c.parked, q)
 	if !c.recorder.Find(in, func(l Leave) {
 		if c.live[q.id] != q || q.state != joined || q.key != nil {
 			return // it was answered meanwhile, or has left
@@ -136,10 +139,10 @@
 			c.ready = append(c.ready, due{q, notKnown})
 		}
 	}) {
+		q.state = held
+		c.unpark(q)
 		return false
 	}
-	q.state = joined
-	c.parked = append(c.parked, q)
 	return true
 }
 
--- a/internal/routing/record_test.go
+++ b/internal/routing/record_test.go
@@ -24,6 +24,7 @@
 	failed   []string
 	find     bool // the recorder asks others
 	found    []func(Leave)
+	word     *Leave // the recorder's, at once
 	begin    []func(Leave)
 	hold     bool // intents are not durable before the test says so
 	n        int
@@ -35,7 +36,10 @@
 func (b *bench) Void(in Intake) { b.voided = append(b.voided, in.Once) }
 func (b *bench) Fail(in Intake) { b.failed = append(b.failed, in.Once) }
 func (b *bench) Find(in Intake, f func(Leave)) bool {
-	if b.find {
+	switch {
+	case b.word != nil:
+		f(*b.word)
+	case b.find:
 		b.found = append(b.found, f)
 	}
 	return b.find
@@ -247,6 +251,11 @@
 	b.step()
 	require.Equal(t, []string{"mine"}, b.failed, "others hear that it failed")
 	require.Equal(t, Failed, r.got[0].Status)
+	// The word may come before the question has returned.
+	b.word = &Leave{Word: HasRun, At: b.now, Result: result}
+	now, _ := b.try("at once")
+	require.Equal(t, []Answer{{Status: Served, Result: result}}, now.got)
+	b.word = nil
 	// Whoever waits for a word that never comes is answered when due, once.
 	late, _ := b.try("late")
 	b.now += 5 * micro.Second
