--- a/cmd/pewterlab/procs.go
+++ b/cmd/pewterlab/procs.go
@@ -22,6 +22,14 @@
 	Config  string  `type:"existingfile" default:"example/config.json" help:"The file whose settings are played."`
 	Root    string  `type:"existingdir" default:"." help:"The root of the program's sources."`
 	Seconds float64 `default:"8" help:"How long requests come, in seconds."`
+	Group   bool    `help:"Play a group of servers that hold copies for each other, in place of one that is upgraded."`
+}
+
+func (f procsFlags) drawn(seed uint64) faults.Script {
+	if f.Group {
+		return procs.DrawnGroup(seed, f.Seconds)
+	}
+	return procs.Drawn(seed, f.Seconds)
 }
 
 // options builds the program into a folder of its own.
@@ -39,15 +47,26 @@
 	if err != nil {
 		return procs.Options{}, none, err
 	}
-	program, err := procs.Build(f.Root, dir)
+	var tags []string
+	if f.Group {
+		tags, file.Settings = []string{"faults"}, procs.LongWindow(file.Settings)
+	}
+	program, err := procs.Build(f.Root, dir, tags...)
 	return procs.Options{Program: program, Settings: file.Settings}, func() { _ = os.RemoveAll(dir) }, err
 }
 
-func play(out io.Writer, s faults.Script, opts procs.Options) (bool, error) {
-	o, err := procs.Play(s, opts)
+func (f procsFlags) play(out io.Writer, s faults.Script, opts procs.Options) (bool, error) {
+	play := procs.Play
+	if f.Group {
+		play = procs.PlayGroup
+	}
+	o, err := play(s, opts)
 	if err != nil {
 		return false, err
 	}
+	if f.Group {
+		fmt.Fprintf(out, "seed %d: %d servers, %d disks lost, %d times not known; ", s.Seed, s.Servers, o.Wiped, o.Unknown)
+	}
 	fmt.Fprintf(out, "seed %d: %d faults, %d processes, %d upgrades; %d answers, %d served, %d refused, %d unheard; %d rules broken\n", s.Seed, len(s.Faults),
 		o.Starts, o.Upgrades, o.Answered, o.Served, o.Refused, o.Unheard, len(o.Broken))
 	for _, b := range o.Broken {
@@ -64,7 +83,7 @@
 }
 
 func (c *procsRunCmd) Run(out io.Writer) (int, error) {
-	s := procs.Drawn(c.Seed, c.Seconds)
+	s := c.drawn(c.Seed)
 	if c.Script != "" {
 		var err error
 		if s, err = (source{Script: c.Script}).script(); err != nil {
@@ -80,7 +99,7 @@
 		return faulty, err
 	}
 	opts.Log = func(format string, args ...any) { fmt.Fprintf(out, format+"\n", args...) }
-	ok, err := play(out, s, opts)
+	ok, err := c.play(out, s, opts)
 	switch {
 	case err != nil:
 		return faulty, err
@@ -109,8 +128,8 @@
 	}
 	until := time.Now().Add(c.For)
 	for seed := first; (last == 0 || seed <= last) && time.Now().Before(until); seed++ {
-		s := procs.Drawn(seed, c.Seconds)
-		ok, err := play(out, s, opts)
+		s := c.drawn(seed)
+		ok, err := c.play(out, s, opts)
 		if err != nil {
 			return faulty, err
 		}
--- a/internal/decide/copies/copies.go
+++ b/internal/decide/copies/copies.go
@@ -256,7 +256,8 @@
 	Ballot  Ballot
 	Epoch   uint64
 	sets    [][]Member // a majority of each is needed: while a group changes, there are two
-	all     bool       // and, if they answer in time, all of them
+	all     bool       // and, if they answer in time, all of them but those absent
+	absent  []Member   // who can't be reached, or is another by now
 	peek    bool       // the round before both, of a look: where holders agree, neither is needed
 	accept  bool       // the second of both rounds
 	votes   []Member
@@ -311,7 +312,7 @@
 			continue
 		}
 		if all {
-			want = len(set)
+			want = max(want, len(slices.DeleteFunc(slices.Clone(set), func(m Member) bool { return slices.Contains(o.absent, m) })))
 		}
 		for _, m := range set {
 			if slices.Contains(o.votes, m) {
--- a/internal/decide/copies/node.go
+++ b/internal/decide/copies/node.go
@@ -161,7 +161,10 @@
 // Repairing counts the keys that wait to be brought to other holders, and those that were.
 func (n *Node) Repairing() (left int, done uint64) { return len(n.queue) + n.repairs, n.repaired }
 
-// Marked are the members that have brought what they hold to the holders to come.
+// Owed counts the keys that have to be brought on before a change of members can end.
+func (n *Node) Owed() int { return len(n.owed) }
+
+// Marked counts the members that have brought what they hold to the holders to come.
 func (n *Node) Marked() int { return len(n.marks) }
 
 // Under counts the changes under way.
@@ -187,12 +190,26 @@
 	c.Self = n.Process
 	n.number++
 	op, asks := NewOp(key, n.group.Epoch, sets, c, n.number)
-	op.all = repair
+	if op.all = repair; repair {
+		op.absent = n.absent(sets)
+	}
 	n.under = append(n.under, &underway{id: n.last, op: op, repair: repair, again: now + n.cfg.Wait, until: now + n.cfg.Most, wait: n.cfg.Wait})
 	n.ready.Requests = append(n.ready.Requests, asks...)
 	return n.last
 }
 
+// absent are those of whom no answer is to be waited for. Guards repairs against a lost member: each would wait for it for nothing.
+func (n *Node) absent(sets [][]Member) (out []Member) {
+	for _, set := range sets {
+		for _, m := range set {
+			if p, _ := n.group.Find(m.ID); p.Member != m || m.ID != n.Self.ID && !n.up[m.ID] {
+				out = append(out, m)
+			}
+		}
+	}
+	return out
+}
+
 // Asked answers a request of another node, or of this one.
 func (n *Node) Asked(from Member, r Request) {
 	reply, changed, ok := n.holder.Handle(r)
@@ -420,7 +437,11 @@
 		}
 		n.number++
 		u.op.Change.Lost = g.Lost
-		n.ready.Requests = append(n.ready.Requests, u.op.Move(g.Epoch, g.Holders(u.op.Key, n.score), n.number)...)
+		sets := g.Holders(u.op.Key, n.score)
+		if u.repair {
+			u.op.absent = n.absent(sets)
+		}
+		n.ready.Requests = append(n.ready.Requests, u.op.Move(g.Epoch, sets, n.number)...)
 		n.number = max(n.number, u.op.Ballot.N)
 		u.again = now + u.wait
 	}
@@ -464,7 +485,7 @@
 	return len(a) == len(b) && !slices.ContainsFunc(a, func(m Member) bool { return !slices.Contains(b, m) })
 }
 
-// Marked takes a member's word that it has brought all it holds to those to come.
+// Mark takes a member's word that it has brought all it holds to those to come.
 func (n *Node) Mark(m Mark) {
 	if m.Epoch == n.group.Epoch && slices.Contains(members(n.group.Now), m.Of) {
 		n.marks[m.Of] = true
--- a/internal/holdings/holdings.go
+++ b/internal/holdings/holdings.go
@@ -65,6 +65,7 @@
 	DiskFailed  int    `json:"disk_failures"`
 	Repaired    uint64 `json:"keys_repaired"`
 	Repairing   int    `json:"keys_to_repair"`
+	Owed        int    `json:"keys_owed"` // of those to repair: a change of members waits for them
 	Held        int    `json:"keys_held"`
 	Under       int    `json:"changes_under_way"`
 	Unreachable int    `json:"members_unreachable"`
@@ -532,6 +533,7 @@
 func (h *Holdings) Count() Counters {
 	c := h.count
 	c.Repairing, c.Repaired = h.node.Repairing()
+	c.Owed = h.node.Owed()
 	c.Held, c.Under = h.node.Held(), h.node.Under()
 	for _, p := range h.node.Group().All() {
 		if p.ID != h.cfg.ID && !h.peers.Up(p.ID) {
--- a/internal/procs/group.go
+++ b/internal/procs/group.go
@@ -91,6 +91,29 @@
 	return os.WriteFile(m.Copies, []byte(b.String()), 0o600)
 }
 
+// LongWindow are settings whose windows outlast any play, however slow the machine is.
+func LongWindow(settings json.RawMessage) json.RawMessage {
+	var set map[string]any
+	if err := json.Unmarshal(settings, &set); err != nil {
+		return settings // the program names what is wrong with them
+	}
+	classes, _ := set["classes"].([]any)
+	for _, c := range classes {
+		if class, ok := c.(map[string]any); ok && class["window_ms"] != nil {
+			class["window_ms"] = 600_000
+		}
+	}
+	// Keys fill the module's memory long before a play is over.
+	if extra, ok := set["extra"].(map[string]any); ok {
+		extra["memory_kb"] = 16e6
+	}
+	out, err := json.Marshal(set)
+	if err != nil {
+		return settings
+	}
+	return out
+}
+
 // Way is the relay by which one server reaches another.
 func (g *Group) Way(from, to int) *Relay { return g.Servers[from-1].ways[to] }
 
@@ -211,6 +234,7 @@
 	Life     string `json:"life"`
 	Epoch    uint64 `json:"epoch"`
 	Changing bool   `json:"changing"`
+	Marked   int    `json:"changing_marked"`
 	Why      string `json:"why"`
 	Lost     int64  `json:"lost_ms"`
 	Voting   bool   `json:"voting"`
@@ -221,6 +245,8 @@
 	}
 	Counters struct {
 		Held      int    `json:"keys_held"`
+		Owed      int    `json:"keys_owed"`
+		Under     int    `json:"changes_under_way"`
 		Repairing int    `json:"keys_to_repair"`
 		Repaired  uint64 `json:"keys_repaired"`
 		Unknown   int    `json:"outcomes_unknown"`
--- a/internal/procs/group_test.go
+++ b/internal/procs/group_test.go
@@ -1,7 +1,6 @@
 package procs
 
 import (
-	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -23,8 +22,7 @@
 	require.NoError(t, err)
 	var file struct{ Settings json.RawMessage }
 	require.NoError(t, json.Unmarshal(text, &file))
-	// No window is to end while a test goes on, however slow the machine is.
-	return bytes.Replace(file.Settings, []byte(`"window_ms": 13518`), []byte(`"window_ms": 600000`), 1)
+	return LongWindow(file.Settings)
 }
 
 var faulty = sync.OnceValues(func() (string, error) {
--- a/internal/procs/play.go
+++ b/internal/procs/play.go
@@ -41,6 +41,7 @@
 	Answered, Unheard int
 	Served, Refused   int
 	Upgrades, Starts  int
+	Wiped, Unknown    int // of a group: disks lost; answers that nobody knows
 }
 
 const (
--- a/internal/procs/pool.go
+++ b/internal/procs/pool.go
@@ -20,8 +20,9 @@
 
 // Ledger is what was run, by all worker pools of a log server.
 type Ledger struct {
-	mu   sync.Mutex
-	runs map[string][]Ran // by body
+	Named bool // results name the run that made them; set before any run
+	mu    sync.Mutex
+	runs  map[string][]Ran // by body
 }
 
 // NewLedger returns an empty one.
@@ -163,7 +164,11 @@
 
 func (p *Pool) finish(id, body string) {
 	p.notice++
-	_, _ = p.conn.Write(pool.AppendFinished(nil, p.notice, id, pool.Pass, 1, []byte("did "+body)))
+	result := "did " + body
+	if p.ledger.Named {
+		result += " as " + id
+	}
+	_, _ = p.conn.Write(pool.AppendFinished(nil, p.notice, id, pool.Pass, 1, []byte(result)))
 }
 
 func (p *Pool) serve(c net.Conn) {
