Begin with one command: pewterline try, and the group's commands

The life of an intake is model-checked against registers, with deaths and answers lost: 6 models of up to 120,000 states, none forbidden; a process that takes itself for its predecessor is found.

--- a/cmd/pewterlab/procs.go
+++ b/cmd/pewterlab/procs.go
@@ -9,6 +9,7 @@
 
 	"pewterline/internal/faults"
 	"pewterline/internal/procs"
+	"pewterline/internal/procs/hunt"
 )
 
 // procsCmd plays real processes on the loopback. What they do depends on the machine as well: a seed gives the faults and
@@ -27,7 +28,7 @@
 
 func (f procsFlags) drawn(seed uint64) faults.Script {
 	if f.Group {
-		return procs.DrawnGroup(seed, f.Seconds)
+		return hunt.Drawn(seed, f.Seconds)
 	}
 	return procs.Drawn(seed, f.Seconds)
 }
@@ -58,7 +59,7 @@
 func (f procsFlags) play(out io.Writer, s faults.Script, opts procs.Options) (bool, error) {
 	play := procs.Play
 	if f.Group {
-		play = procs.PlayGroup
+		play = hunt.Play
 	}
 	o, err := play(s, opts)
 	if err != nil {
--- a/cmd/pewterline/command.go
+++ b/cmd/pewterline/command.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"runtime/debug"
+	"strings"
 
 	"github.com/alecthomas/kong"
 
@@ -19,9 +20,11 @@
 
 // commands are what the program can be asked to do. Without any, it serves: the bare command is the platform's.
 type commands struct {
-	Serve   struct{} `cmd:"" default:"1" help:"Serve until SIGTERM, as the files say that the environment names."`
-	Check   struct{} `cmd:"" help:"Check all files and name what is wrong with each."`
-	Version struct{} `cmd:"" help:"Tell which build this is."`
+	Serve   struct{}  `cmd:"" default:"1" help:"Serve until SIGTERM, as the files say that the environment names."`
+	Try     tryCmd    `cmd:"" help:"Show what the program does: three servers in a temporary folder, one of which is lost. Takes some seconds and leaves nothing behind."`
+	Copies  copiesCmd `cmd:"" help:"Ask a running server about the group that holds copies with it, or change that."`
+	Check   struct{}  `cmd:"" help:"Check all files and name what is wrong with each."`
+	Version struct{}  `cmd:"" help:"Tell which build this is."`
 }
 
 // ended carries kong's wish to end after its help.
@@ -49,8 +52,13 @@
 		fmt.Fprintln(errs, "pewterline:", err)
 		return misuse
 	}
-	switch ctx.Command() {
-	case "check":
+	words, copies := strings.CutPrefix(ctx.Command(), "copies ")
+	switch {
+	case copies:
+		err = c.Copies.run(words, getenv, out)
+	case ctx.Command() == "try":
+		err = c.Try.do(out)
+	case ctx.Command() == "check":
 		problems := config.CheckAll(getenv)
 		for _, p := range problems {
 			fmt.Fprintf(out, "%s: %v\n", p.File, p.Err)
@@ -59,13 +67,14 @@
 			return failed
 		}
 		fmt.Fprintln(out, "all files are sound")
-	case "version":
+	case ctx.Command() == "version":
 		fmt.Fprintln(out, version())
 	default:
-		if err := serve(); err != nil {
-			fmt.Fprintln(errs, "pewterline:", err)
-			return failed
-		}
+		err = serve()
+	}
+	if err != nil {
+		fmt.Fprintln(errs, "pewterline:", err)
+		return failed
 	}
 	return fine
 }
--- a/cmd/pewterline/command_test.go
+++ b/cmd/pewterline/command_test.go
@@ -9,7 +9,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-func ask(t *testing.T, env map[string]string, args ...string) (int, string) {
+func asks(t *testing.T, env map[string]string, args ...string) (int, string) {
 	t.Helper()
 	var out bytes.Buffer
 	code := command(args, func(k string) string { return env[k] }, &out, &out)
@@ -30,27 +30,27 @@
 		"RELAY_STORE":  write("store.toml", "driver = \"paper\"\n"),
 		"RELAY_FLEET":  write("fleet.toml", "[edge]\ncolour = 1\n"),
 	}
-	code, out := ask(t, env, "check")
+	code, out := asks(t, env, "check")
 	require.Equal(t, failed, code)
 	for _, want := range []string{"config.json: config: name", "ajp.toml: front.listen", "store.toml: driver", "fleet.toml: edge.colour"} {
 		require.Contains(t, out, want)
 	}
-	code, out = ask(t, nil, "check")
+	code, out = asks(t, nil, "check")
 	require.Equal(t, failed, code)
 	require.Contains(t, out, "RELAY_CONFIG: not set")
-	code, out = ask(t, map[string]string{"RELAY_CONFIG": "../../example/config.json"}, "check")
+	code, out = asks(t, map[string]string{"RELAY_CONFIG": "../../example/config.json"}, "check")
 	require.Equal(t, fine, code, out)
 	require.Contains(t, out, "sound")
 }
 
 func TestOtherCommands(t *testing.T) {
-	code, out := ask(t, nil, "version")
+	code, out := asks(t, nil, "version")
 	require.Equal(t, fine, code)
 	require.Contains(t, out, "pewterline ")
-	code, out = ask(t, nil, "dance")
+	code, out = asks(t, nil, "dance")
 	require.Equal(t, misuse, code)
 	require.Contains(t, out, "dance")
-	code, out = ask(t, nil, "--help")
+	code, out = asks(t, nil, "--help")
 	require.Equal(t, fine, code)
 	require.Contains(t, out, "check")
 }
--- /dev/null
+++ b/internal/decide/ledger/ledger_test.go
@@ -0,0 +1,288 @@
+package ledger
+
+import (
+	"flag"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"pewterline/internal/decide/copies"
+	"pewterline/internal/decide/explore"
+)
+
+const window = 1000
+
+// model is two servers that share a register for each key, as a majority of holders makes one: a change takes effect at once, at
+// some time or never, also after whoever wanted it has given it up; its answer may be lost. Processes die and come back knowing
+// nothing. All tries are within one window.
+type model struct {
+	values  []copies.Value // by key
+	servers [2]process
+	floats  []change // given up, or of dead processes: they may take effect yet
+	ran     []int    // by key: runs that were begun
+	deaths  int
+	wrong   string
+	bounds  *bounds
+}
+
+type bounds struct {
+	keys, tries, deaths, lost int
+	sameLife                  bool // a process that comes back takes itself for the one before
+}
+
+// process is one server's process.
+type process struct {
+	life uint64
+	keys []intake
+	lost int // answers, so far
+}
+
+// intake is a key in one process.
+type intake struct {
+	Key
+	tries   int
+	try     uint64
+	op      *change
+	running bool
+	passed  bool
+}
+
+type change struct {
+	key int
+	copies.Change
+	verdict copies.Verdict // 0: it has not taken effect
+	value   copies.Value
+}
+
+func (m *model) clone() *model {
+	n := *m
+	n.values, n.floats, n.ran = slices.Clone(m.values), slices.Clone(m.floats), slices.Clone(m.ran)
+	for i := range n.servers {
+		n.servers[i].keys = slices.Clone(m.servers[i].keys)
+		for j := range n.servers[i].keys {
+			if op := n.servers[i].keys[j].op; op != nil {
+				c := *op
+				n.servers[i].keys[j].op = &c
+			}
+		}
+	}
+	return &n
+}
+
+func (m *model) Key() string {
+	var b strings.Builder
+	fmt.Fprint(&b, m.values, m.ran, m.deaths)
+	for _, s := range m.servers {
+		fmt.Fprint(&b, ";", s.life, s.lost)
+		for _, k := range s.keys {
+			fmt.Fprint(&b, k.Key, k.tries, k.try, k.running, k.passed)
+			if k.op != nil {
+				fmt.Fprint(&b, *k.op)
+			}
+		}
+	}
+	floats := make([]string, len(m.floats))
+	for i, f := range m.floats {
+		floats[i] = fmt.Sprint(f)
+	}
+	slices.Sort(floats)
+	fmt.Fprint(&b, floats)
+	return b.String()
+}
+
+func (m *model) Wrong() string {
+	for key, n := range m.ran {
+		if n > 1 {
+			return fmt.Sprintf("key %d is run twice", key)
+		}
+	}
+	return m.wrong
+}
+
+// move feeds an event to a key, and does what it says.
+func (m *model) move(i, j int, ev Event) {
+	s := &m.servers[i]
+	k := &s.keys[j]
+	ask := func(c copies.Change) {
+		if k.op != nil && k.op.verdict == 0 {
+			m.floats = append(m.floats, *k.op)
+		}
+		c.Self, c.At, c.Window = copies.Member{ID: uint32(i + 1), Life: s.life}, 1, window
+		k.op = &change{key: j, Change: c}
+	}
+	for _, d := range k.Step(ev) {
+		switch d {
+		case Ask:
+			k.try++
+			ask(copies.Change{Act: copies.Leave, Try: k.try, Fresh: !k.Begun})
+		case Look:
+			ask(copies.Change{Act: copies.Look})
+		case Copy:
+			ask(copies.Change{Act: copies.End, Try: k.try, Passed: k.passed, Result: "r"})
+		case TakeBack:
+			ask(copies.Change{Act: copies.Void, Try: k.try})
+		case Start:
+			k.running = true
+			m.ran[j]++
+		case Serve:
+			if m.ran[j] == 0 {
+				m.wrong = "served what never ran"
+			}
+		}
+	}
+}
+
+func (m *model) Next() (out []explore.Step) {
+	add := func(what string, f func(*model)) {
+		n := m.clone()
+		f(n)
+		out = append(out, explore.Step{What: what, To: n})
+	}
+	for i, s := range m.servers {
+		for j, k := range s.keys {
+			name := fmt.Sprintf("server %d, key %d", i+1, j)
+			if k.tries < m.bounds.tries && (k.State == Idle || k.State == Voiding || k.State == Copied) {
+				add(name+": a try", func(n *model) {
+					n.servers[i].keys[j].tries++
+					n.move(i, j, Try)
+				})
+			}
+			if k.op != nil && k.op.verdict == 0 {
+				add(name+": its change takes effect", func(n *model) { n.servers[i].keys[j].op.verdict = n.effect(n.servers[i].keys[j].op) })
+			}
+			if k.op != nil && k.op.verdict != 0 {
+				add(name+": it hears so", func(n *model) {
+					v := n.servers[i].keys[j].op.verdict
+					n.servers[i].keys[j].op = nil
+					n.move(i, j, Of(v, true))
+				})
+			}
+			if k.op != nil && s.lost < m.bounds.lost {
+				add(name+": it hears nothing", func(n *model) {
+					k := &n.servers[i].keys[j]
+					if k.op.verdict == 0 {
+						n.floats = append(n.floats, *k.op)
+					}
+					k.op = nil
+					n.servers[i].lost++
+					n.move(i, j, NoAnswer)
+				})
+			}
+			switch {
+			case k.State == Elsewhere, k.State == Uncopied && k.op == nil:
+				add(name+": again", func(n *model) { n.move(i, j, Again) })
+			}
+			if k.State == Elsewhere || k.State == Looking || k.State == Asking {
+				add(name+": due", func(n *model) { n.move(i, j, Due) })
+			}
+			if k.running {
+				add(name+": its run ends well", func(n *model) {
+					n.servers[i].keys[j].running, n.servers[i].keys[j].passed = false, true
+					n.move(i, j, Passed)
+				})
+				add(name+": its run fails", func(n *model) {
+					n.servers[i].keys[j].running = false
+					n.move(i, j, Failed)
+				})
+			}
+		}
+		if m.deaths < m.bounds.deaths {
+			add(fmt.Sprintf("server %d dies and comes back", i+1), func(n *model) {
+				n.deaths++
+				for j := range n.servers[i].keys {
+					k := &n.servers[i].keys[j]
+					if k.op != nil && k.op.verdict == 0 {
+						n.floats = append(n.floats, *k.op)
+					}
+					*k = intake{tries: k.tries}
+				}
+				if !n.bounds.sameLife {
+					n.servers[i].life++
+				}
+			})
+		}
+	}
+	for f := range m.floats {
+		add(fmt.Sprintf("a change that was given up takes effect: %v", m.floats[f]), func(n *model) {
+			c := n.floats[f]
+			n.floats = slices.Delete(n.floats, f, f+1)
+			n.effect(&c)
+		})
+	}
+	return out
+}
+
+func (m *model) effect(c *change) copies.Verdict {
+	v, verdict := c.Apply(m.values[c.key])
+	m.values[c.key] = v
+	return verdict
+}
+
+var statesMost = flag.Int("states", 120_000, "how many states TestAllOrders visits at most, of each model")
+
+func visit(b bounds, most int) explore.Report {
+	m := &model{bounds: &b, values: make([]copies.Value, b.keys), ran: make([]int, b.keys)}
+	for i := range m.servers {
+		m.servers[i] = process{life: 1, keys: make([]intake, b.keys)}
+	}
+	return explore.All(m, most)
+}
+
+// Guards the life of an intake: whatever crosses whatever, it is run once by one server, and served with what ran.
+func TestAllOrders(t *testing.T) {
+	for _, b := range []bounds{{keys: 1, tries: 1, lost: 1}, {keys: 1, tries: 2, lost: 1}, {keys: 1, tries: 2, deaths: 1, lost: 1}, {keys: 1, tries: 2, deaths: 1, lost: 2},
+		{keys: 2, tries: 1, deaths: 1, lost: 1}, {keys: 2, tries: 2, lost: 1}} {
+		t.Run(fmt.Sprintf("%+v", b), func(t *testing.T) {
+			t.Parallel()
+			r := visit(b, *statesMost)
+			t.Logf("%+v: %v", b, r)
+			require.Empty(t, r.Wrong, "%v", r)
+			require.Greater(t, r.States, 500)
+		})
+	}
+}
+
+// A process that comes back and takes itself for the one before runs again what that one ran: the model finds it, so that it can find
+// what it looks for.
+func TestSameLifeIsFound(t *testing.T) {
+	r := visit(bounds{keys: 1, tries: 2, deaths: 1, sameLife: true}, 300_000)
+	t.Log(r)
+	require.Equal(t, "key 0 is run twice", r.Wrong)
+}
+
+// Every event at every state: what a state does not expect changes nothing, and whoever waits is told one thing at most.
+func TestEveryEventAtEveryState(t *testing.T) {
+	final := map[Do]bool{Serve: true, SayFailed: true, SayUnknown: true, SayUncopied: true, Refuse: true, SayUnneeded: true}
+	for s := State(0); s < States; s++ {
+		for e := Event(0); e < Events; e++ {
+			k := Key{State: s}
+			does := k.Step(e)
+			told := 0
+			for _, d := range does {
+				if final[d] {
+					told++
+				}
+			}
+			require.LessOrEqual(t, told, 1, "state %d, event %d", s, e)
+			if len(does) == 0 && k.State != s {
+				require.Contains(t, []State{Idle}, k.State, "state %d, event %d: a silent move", s, e)
+			}
+			// Whoever is told something is not told again by what may still come, but for a result that is copied late.
+			if told == 1 && k.State != Uncopied && k.State != Copied {
+				require.Contains(t, []State{Idle, Voiding}, k.State, "state %d, event %d", s, e)
+			}
+		}
+	}
+}
+
+// Whoever has asked for leave and was told to wait is told something once it is due.
+func TestDueEndsEachWait(t *testing.T) {
+	for _, s := range []State{Asking, Elsewhere, Looking} {
+		k := Key{State: s}
+		require.NotEmpty(t, k.Step(Due))
+		require.Equal(t, Idle, k.State)
+	}
+}
--- a/internal/procs/group.go
+++ b/internal/procs/group.go
@@ -329,12 +329,17 @@
 
 // Intake sends one try of an intake to a server, which came at a time, and waits for the answer. Its body is its key.
 func (g *Group) Intake(id int, key string, at time.Time, retry bool) (Told, error) {
+	return g.Send(id, "lot-intake", key, at, retry)
+}
+
+// Send does the same for a request of any class.
+func (g *Group) Send(id int, class, key string, at time.Time, retry bool) (Told, error) {
 	c, err := Dial(g.Servers[id-1].Listen)
 	if err != nil {
 		return Told{}, err
 	}
 	defer c.Close()
-	a, err := c.ask("lot-intake", key, key, at, retry)
+	a, err := c.ask(class, key, key, at, retry)
 	if err != nil {
 		return Told{}, err
 	}
--- a/internal/procs/group_play.go
+++ b/internal/procs/hunt/hunt.go
@@ -1,4 +1,5 @@
-package procs
+// Package hunt plays groups of real processes by scripts of faults, and judges what callers and worker pools saw.
+package hunt
 
 import (
 	"cmp"
@@ -16,6 +17,7 @@
 
 	"pewterline/internal/faults"
 	"pewterline/internal/micro"
+	"pewterline/internal/procs"
 	"pewterline/internal/protocol/thrift"
 )
 
@@ -31,12 +33,12 @@
 // groupPlay is a group that is played.
 type groupPlay struct {
 	script  faults.Script
-	opts    Options
-	g       *Group
+	opts    procs.Options
+	g       *procs.Group
 	began   time.Time
 	closing atomic.Bool
 	mu      sync.Mutex
-	out     Outcome
+	out     procs.Outcome
 	events  []string
 	history []porcupine.Operation
 	busy    []sync.Mutex // of each server: one fault of its process at a time
@@ -44,7 +46,9 @@
 	wg      sync.WaitGroup
 }
 
-// once is what callers may be told of an intake, one after the other: once it is served, it is with that result, and it is not
+const triesMost = 12 // of one intake
+
+// onceModel is what callers may be told of an intake, one after the other: once it is served, it is with that result, and it is not
 // refused. What nobody was told of may have run or not.
 var onceModel = porcupine.Model{
 	Partition: func(h []porcupine.Operation) (out [][]porcupine.Operation) {
@@ -59,7 +63,7 @@
 	},
 	Init: func() any { return "" },
 	Step: func(state, _, out any) (bool, any) {
-		ran, o := state.(string), out.(Told)
+		ran, o := state.(string), out.(procs.Told)
 		switch o.Kind {
 		case thrift.Answered:
 			return ran == "" || ran == o.Result, o.Result
@@ -70,9 +74,9 @@
 	},
 }
 
-// PlayGroup plays a script for a group to its end, and judges what callers and worker pools saw. The program has to be built with
+// Play plays a script for a group to its end, and judges what callers and worker pools saw. The program has to be built with
 // the tag faults where disks are to fail.
-func PlayGroup(script faults.Script, opts Options) (out Outcome, err error) {
+func Play(script faults.Script, opts procs.Options) (out procs.Outcome, err error) {
 	if err := script.Check(); err != nil {
 		return out, err
 	}
@@ -80,7 +84,7 @@
 	if script.Servers >= 5 {
 		copies = 5
 	}
-	g, err := NewGroup(opts.Program, opts.Settings, script.Servers, copies)
+	g, err := procs.NewGroup(opts.Program, opts.Settings, script.Servers, copies)
 	if g != nil {
 		defer func() { err = errors.Join(err, g.Close()) }()
 	}
@@ -133,14 +137,14 @@
 	}
 }
 
-func (p *groupPlay) count(f func(*Outcome)) {
+func (p *groupPlay) count(f func(*procs.Outcome)) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	f(&p.out)
 }
 
 func (p *groupPlay) broken(format string, args ...any) {
-	p.count(func(o *Outcome) { o.Broken = append(o.Broken, fmt.Sprintf(format, args...)) })
+	p.count(func(o *procs.Outcome) { o.Broken = append(o.Broken, fmt.Sprintf(format, args...)) })
 }
 
 // server is the number of a node, from 1; 0: none.
@@ -172,14 +176,14 @@
 				p.broken("wipe: %v", err)
 				return
 			}
-			p.count(func(o *Outcome) { o.Wiped++ })
+			p.count(func(o *procs.Outcome) { o.Wiped++ })
 		}
 		time.Sleep(f.For.Duration())
 		// It does not start on a full disk.
 		if err := p.g.Eventually(func() error { return p.g.Start(id) }); err != nil {
 			p.broken("start: %v", err)
 		}
-		p.count(func(o *Outcome) { o.Starts++ })
+		p.count(func(o *procs.Outcome) { o.Starts++ })
 	case faults.Pause:
 		p.busy[id-1].Lock()
 		defer p.busy[id-1].Unlock()
@@ -199,19 +203,19 @@
 		late := time.Duration(f.Amount * float64(time.Millisecond))
 		switch f.Kind {
 		case faults.Stall:
-			there.Hold(There, Back)
-			back.Hold(There, Back)
+			there.Hold(procs.There, procs.Back)
+			back.Hold(procs.There, procs.Back)
 		case faults.Dark:
-			there.Drop(There)
-			back.Drop(Back)
+			there.Drop(procs.There)
+			back.Drop(procs.Back)
 		case faults.Lag:
-			there.Lag(late, There, Back)
-			back.Lag(late, There, Back)
+			there.Lag(late, procs.There, procs.Back)
+			back.Lag(late, procs.There, procs.Back)
 		case faults.Thin:
-			there.Thin(int(f.Amount), There, Back)
-			back.Thin(int(f.Amount), There, Back)
+			there.Thin(int(f.Amount), procs.There, procs.Back)
+			back.Thin(int(f.Amount), procs.There, procs.Back)
 		case faults.Cut:
-			there.Cut(int(f.Amount), There)
+			there.Cut(int(f.Amount), procs.There)
 			return
 		default:
 			p.broken("script: %s is no fault of a group", f.Kind)
@@ -228,7 +232,7 @@
 	if !p.losing.TryLock() {
 		return false
 	}
-	var best State
+	var best procs.State
 	for id := range p.g.Servers {
 		if m := p.g.Servers[id]; m.Process != nil && !m.Process.Ended() {
 			if s, err := p.state(id + 1); err == nil && s.Epoch > best.Epoch {
@@ -250,9 +254,9 @@
 }
 
 // state asks a server that may be stopped, and waits no longer than a while.
-func (p *groupPlay) state(id int) (State, error) {
+func (p *groupPlay) state(id int) (procs.State, error) {
 	type told struct {
-		s   State
+		s   procs.State
 		err error
 	}
 	ch := make(chan told, 1)
@@ -264,7 +268,7 @@
 	case t := <-ch:
 		return t.s, t.err
 	case <-time.After(500 * time.Millisecond):
-		return State{}, errors.New("procs: no answer")
+		return procs.State{}, errors.New("procs: no answer")
 	}
 }
 
@@ -274,7 +278,7 @@
 	rng := rand.New(rand.NewPCG(p.script.Seed, uint64(i)))
 	for j := 0; !p.closing.Load(); j++ {
 		key := fmt.Sprintf("lot %d/%d", i, j)
-		for tries := 0; tries < 3*triesMost && !p.closing.Load(); tries++ {
+		for tries := 0; tries < triesMost && !p.closing.Load(); tries++ {
 			if p.try(i, 1+rng.IntN(len(p.g.Servers)), key, tries > 0) == thrift.Answered {
 				time.Sleep(time.Duration(5+rng.IntN(20)) * time.Millisecond)
 				break
@@ -290,12 +294,12 @@
 	told, err := p.g.Intake(id, key, time.Now(), retry)
 	ended := time.Since(p.began)
 	if err != nil { // it may run at any time, or never
-		told, ended = Told{}, time.Hour
+		told, ended = procs.Told{}, time.Hour
 	}
 	p.mu.Lock()
 	p.history = append(p.history, porcupine.Operation{ClientId: caller, Input: key, Output: told, Call: int64(began), Return: int64(ended)})
 	p.mu.Unlock()
-	p.count(func(o *Outcome) {
+	p.count(func(o *procs.Outcome) {
 		switch {
 		case err != nil:
 			o.Unheard++
@@ -318,7 +322,7 @@
 	p.mu.Lock()
 	var keys []string
 	for _, o := range p.history {
-		if k := o.Input.(string); o.Output.(Told).Kind == thrift.Answered && !slices.Contains(keys, k) {
+		if k := o.Input.(string); o.Output.(procs.Told).Kind == thrift.Answered && !slices.Contains(keys, k) {
 			keys = append(keys, k)
 		}
 	}
@@ -350,8 +354,8 @@
 	}
 }
 
-// DrawnGroup is a script for a group, from a seed: at each moment some of its servers, disks and links are spoilt.
-func DrawnGroup(seed uint64, seconds float64) faults.Script {
+// Drawn is a script for a group, from a seed: at each moment some of its servers, disks and links are spoilt.
+func Drawn(seed uint64, seconds float64) faults.Script {
 	rng := rand.New(rand.NewPCG(seed, 2))
 	s := faults.Script{Seed: seed, Servers: []int{3, 5}[seed%2], Proxies: 6, Length: micro.Time(seconds * 1e6), Rate: 1}
 	kinds := []faults.Kind{faults.Kill, faults.Vanish, faults.Vanish, faults.Vanish, faults.Vanish, faults.Vanish, faults.Pause, faults.Stall, faults.Dark, faults.Lag, faults.Thin, faults.Cut, faults.StoreFail, faults.StoreSlow}
