--- a/cmd/pewterlab/procs.go
+++ b/cmd/pewterlab/procs.go
@@ -5,11 +5,15 @@
 	"fmt"
 	"io"
 	"os"
+	"path/filepath"
+	"text/tabwriter"
 	"time"
 
+	"pewterline/internal/decide/search"
 	"pewterline/internal/faults"
 	"pewterline/internal/procs"
 	"pewterline/internal/procs/hunt"
+	"pewterline/internal/procs/measure"
 )
 
 // procsCmd plays real processes on the loopback. What they do depends on the machine as well: a seed gives the faults and
@@ -17,6 +21,7 @@
 type procsCmd struct {
 	Run  procsRunCmd  `cmd:"" help:"Play one script, drawn from a seed or read from a file."`
 	Hunt procsHuntCmd `cmd:"" help:"Play seed after seed until one breaks a rule."`
+	Cost procsCostCmd `cmd:"" help:"Measure what copies cost, how long a repair takes, and what callers are told while a server is lost."`
 }
 
 type procsFlags struct {
@@ -115,6 +120,29 @@
 	Seeds string        `default:"1.." help:"Seeds A..B; without B there is no end."`
 	For   time.Duration `default:"1m" help:"How long to hunt."`
 	Out   string        `type:"path" help:"File to write a found script to."`
+	Plays int           `default:"30" help:"How often a found script may be played to make it smaller; 0: not at all."`
+}
+
+// shrink makes a found script smaller. Real processes don't do the same each time: a smaller script counts if one of three plays of it
+// breaks a rule.
+func (c *procsHuntCmd) shrink(out io.Writer, s faults.Script, opts procs.Options) (faults.Script, error) {
+	k := search.NewShrinker(s, c.Plays/3)
+	for {
+		smaller, ok := k.Next()
+		if !ok {
+			return k.Best(), nil
+		}
+		fails := false
+		for i := 0; i < 3 && !fails; i++ {
+			ok, err := c.play(io.Discard, smaller, opts)
+			if err != nil {
+				return k.Best(), err
+			}
+			fails = !ok
+		}
+		k.Tell(fails)
+		fmt.Fprintf(out, "%d faults, %d servers: breaks a rule: %v\n", len(smaller.Faults), smaller.Servers, fails)
+	}
 }
 
 func (c *procsHuntCmd) Run(out io.Writer) (int, error) {
@@ -135,6 +163,12 @@
 			return faulty, err
 		}
 		if !ok {
+			if c.Plays > 0 {
+				if s, err = c.shrink(out, s, opts); err != nil {
+					return faulty, err
+				}
+				fmt.Fprint(out, s.String())
+			}
 			if c.Out != "" {
 				err = os.WriteFile(c.Out, []byte(s.String()), 0o644)
 			}
@@ -143,3 +177,54 @@
 	}
 	return clean, nil
 }
+
+type procsCostCmd struct {
+	procsFlags
+	Callers  int    `default:"16" help:"Callers at once."`
+	Holdings int    `default:"100000" help:"Intakes to be repaired; 0: none."`
+	Plot     string `type:"path" help:"File to draw what callers are told into, such as kill.svg."`
+}
+
+func (c *procsCostCmd) Run(out io.Writer) (int, error) {
+	c.Group = true
+	opts, remove, err := c.options()
+	defer remove()
+	if err != nil {
+		return faulty, err
+	}
+	if opts.Program, err = procs.Build(c.Root, filepath.Dir(opts.Program)); err != nil { // as it ships, without faults
+		return faulty, err
+	}
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "COPIES\tINTAKES/S\tP50\tP99\tSYNCS EACH\tBYTES EACH\tMEMORY MB\tNOT SERVED")
+	for _, n := range []int{0, 1, 3, 5} {
+		r, err := measure.Cost(opts.Program, opts.Settings, n, c.Callers, time.Duration(c.Seconds*float64(time.Second)))
+		if err != nil {
+			return faulty, err
+		}
+		fmt.Fprintf(w, "%d\t%.0f\t%v\t%v\t%.2f\t%.0f\t%.1f\t%d\n", r.Copies, r.PerSecond, r.P50, r.P99, r.SyncsEach, r.BytesEach, float64(r.Memory)/1e6, r.NotAnswered)
+	}
+	if err := w.Flush(); err != nil {
+		return faulty, err
+	}
+	if c.Holdings > 0 {
+		for _, rate := range []int{2000, 20000} {
+			r, err := measure.Repair(opts.Program, opts.Settings, c.Holdings, rate, rate/60)
+			if err != nil {
+				return faulty, err
+			}
+			fmt.Fprintf(out, "repair of %d holdings at %d keys/s at most: %v, %.1f MB in the server that was lost\n", r.Holdings, rate, r.Took.Round(10*time.Millisecond), float64(r.Memory)/1e6)
+		}
+	}
+	seconds, err := measure.Kill(opts.Program, opts.Settings, 20, 5, 12, 300)
+	if err != nil {
+		return faulty, err
+	}
+	for i, s := range seconds {
+		fmt.Fprintf(out, "second %d: %+v\n", i, s)
+	}
+	if c.Plot != "" {
+		return clean, measure.Plot(seconds, c.Plot)
+	}
+	return clean, nil
+}
--- a/internal/decide/copies/copies_test.go
+++ b/internal/decide/copies/copies_test.go
@@ -17,27 +17,31 @@
 
 const window = 1000
 
-// group is a model: three holders of one key, and servers that want to run its intake. A holder's answer comes at once or never;
+// group is a model: three holders of one key, or of two, and two servers that want to run their intakes. A holder's answer comes at once or never;
 // what a server has asked a holder to accept may reach it at any time, again and again, or never, whatever became of the
 // attempt. (A late request for a promise would only stand in the way, and is left out.) Servers die and come back knowing
 // nothing; a holder's disk may be lost, and it comes back as another life, or, where amnesia is on, as its old self.
 type group struct {
-	holders [3]Slot
+	holders [3][2]Slot // by key
 	lives   [3]uint64
-	servers [2]asker
+	servers []asker   // two for each key
 	accepts []Request // sorted by text; To is whoever it reaches
 	wipes   int
 	deaths  int
-	runs    int
+	runs    [2]int
 	bounds  *bounds
 }
 
 type bounds struct {
 	attempts, wipes, deaths int
 	amnesia                 bool
+	keys                    int // 0: one
 }
 
+// asker is a server's part in one key.
 type asker struct {
+	server   int
+	key      int
 	life     uint64
 	attempts int
 	op       *Op
@@ -66,9 +70,11 @@
 	}
 	for i, h := range g.holders {
 		num(g.lives[i])
-		ballot(h.Promised)
-		ballot(h.Accepted)
-		value(h.Value)
+		for _, s := range h[:max(g.bounds.keys, 1)] {
+			ballot(s.Promised)
+			ballot(s.Accepted)
+			value(s.Value)
+		}
 	}
 	for _, s := range g.servers {
 		num(s.life, uint64(s.attempts), yes(s.ran), yes(s.ended))
@@ -84,19 +90,20 @@
 		b = append(b, ';')
 	}
 	for _, r := range g.accepts {
+		b = append(b, r.Key...)
 		ballot(r.Ballot)
 		value(r.Value)
 	}
-	num(uint64(g.wipes), uint64(g.deaths), uint64(g.runs))
+	num(uint64(g.wipes), uint64(g.deaths), uint64(g.runs[0]), uint64(g.runs[1]))
 	return string(b)
 }
 
 func (g *group) Wrong() string {
-	if g.runs > 1 {
+	if max(g.runs[0], g.runs[1]) > 1 {
 		return "run twice"
 	}
 	for _, s := range g.servers {
-		if s.op != nil && s.op.over && s.op.verdict == Serve && g.runs == 0 {
+		if s.op != nil && s.op.over && s.op.verdict == Serve && g.runs[s.key] == 0 {
 			return "served what never ran"
 		}
 	}
@@ -105,7 +112,7 @@
 
 func (g *group) clone() *group {
 	n := *g
-	n.accepts = slices.Clone(g.accepts)
+	n.accepts, n.servers = slices.Clone(g.accepts), slices.Clone(g.servers)
 	for i := range n.servers {
 		if op := n.servers[i].op; op != nil {
 			c := *op
@@ -134,9 +141,10 @@
 		self.Life = 1
 	}
 	r.To = three[i]
-	h := NewHolder(self, map[string]Slot{"k": g.holders[i]})
+	key := int(r.Key[0] - '0')
+	h := NewHolder(self, map[string]Slot{r.Key: g.holders[i][key]})
 	out, _, ok := h.Handle(r)
-	g.holders[i] = h.Slot("k")
+	g.holders[i][key] = h.Slot(r.Key)
 	return out, ok
 }
 
@@ -147,40 +155,40 @@
 		out = append(out, explore.Step{What: what, To: n})
 	}
 	for i, s := range g.servers {
-		self := Member{uint32(10 + i), s.life}
+		self, key, name := Member{uint32(10 + s.server), s.life}, fmt.Sprint(s.key), fmt.Sprintf("server %d, key %d,", s.server, s.key)
 		switch {
 		case s.op == nil && s.attempts < g.bounds.attempts:
-			add(fmt.Sprintf("server %d asks", i), func(n *group) {
+			add(name+" asks", func(n *group) {
 				n.servers[i].attempts++
-				n.servers[i].op, _ = NewOp("k", 0, [][]Member{three}, Change{Self: self, At: int64(s.life), Window: window}, 1)
+				n.servers[i].op, _ = NewOp(key, 0, [][]Member{three}, Change{Self: self, At: int64(s.life), Window: window}, 1)
 			})
 		case s.op != nil && !s.op.over && s.attempts < g.bounds.attempts:
-			add(fmt.Sprintf("server %d asks again", i), func(n *group) {
+			add(name+" asks again", func(n *group) {
 				n.servers[i].attempts++
 				n.servers[i].op.Again(uint64(n.servers[i].attempts))
 			})
 		case s.op != nil && s.op.over && s.op.verdict == Run && !s.ran:
-			add(fmt.Sprintf("server %d runs", i), func(n *group) {
+			add(name+" runs", func(n *group) {
 				n.servers[i].ran = true
-				n.runs++
+				n.runs[s.key]++
 			})
 		case s.ran && !s.ended && s.op.over:
-			add(fmt.Sprintf("server %d's run ends", i), func(n *group) {
+			add(name+" run ends", func(n *group) {
 				n.servers[i].ended = true
-				n.servers[i].op, _ = NewOp("k", 0, [][]Member{three}, Change{Act: End, Self: self, At: int64(s.life), Window: window, Passed: true, Result: "r"}, s.op.Ballot.N+1)
+				n.servers[i].op, _ = NewOp(key, 0, [][]Member{three}, Change{Act: End, Self: self, At: int64(s.life), Window: window, Passed: true, Result: "r"}, s.op.Ballot.N+1)
 			})
 		}
 		if s.op != nil && g.deaths < g.bounds.deaths {
-			add(fmt.Sprintf("server %d dies and comes back", i), func(n *group) {
+			add(name+" dies and comes back", func(n *group) {
 				n.deaths++
-				n.servers[i] = asker{life: s.life + 1}
+				n.servers[i] = asker{server: s.server, key: s.key, life: s.life + 1}
 			})
 		}
 		if s.op != nil && !s.op.over {
 			for h := range g.holders {
-				add(fmt.Sprintf("holder %d answers server %d", h, i), func(n *group) {
+				add(fmt.Sprintf("holder %d answers %s", h, name), func(n *group) {
 					op := n.servers[i].op
-					if r, ok := n.reach(h, Request{Key: "k", Ballot: op.Ballot, Accept: op.accept, Peek: op.peek, Value: op.value}); ok {
+					if r, ok := n.reach(h, Request{Key: key, Ballot: op.Ballot, Accept: op.accept, Peek: op.peek, Value: op.value}); ok {
 						n.sent(op.Heard(r))
 					}
 				})
@@ -189,14 +197,14 @@
 	}
 	for _, r := range g.accepts {
 		for h := range g.holders {
-			add(fmt.Sprintf("holder %d is asked late to accept %v: %v", h, r.Ballot, r.Value), func(n *group) { n.reach(h, r) })
+			add(fmt.Sprintf("holder %d is asked late to accept %v of key %s: %v", h, r.Ballot, r.Key, r.Value), func(n *group) { n.reach(h, r) })
 		}
 	}
 	if g.wipes < g.bounds.wipes {
 		for i := range g.holders {
 			add(fmt.Sprintf("holder %d loses its disk", i), func(n *group) {
 				n.wipes++
-				n.holders[i] = Slot{}
+				n.holders[i] = [2]Slot{}
 				n.lives[i]++
 			})
 		}
@@ -206,8 +214,10 @@
 
 func visit(t *testing.T, b bounds, most int) explore.Report {
 	g := &group{bounds: &b}
-	for i := range g.servers {
-		g.servers[i].life = 1
+	for key := range max(b.keys, 1) {
+		for server := range 2 {
+			g.servers = append(g.servers, asker{server: server, key: key, life: 1})
+		}
 	}
 	r := explore.All(g, most)
 	t.Logf("%+v: %v", b, r)
@@ -217,7 +227,7 @@
 // Guards the once-only rule among several servers: whatever messages are lost, doubled or overtaken, whoever dies, and with a
 // disk lost, no intake is run twice, and none is served that did not run.
 func TestAllOrders(t *testing.T) {
-	for _, b := range []bounds{{attempts: 1}, {attempts: 2}, {attempts: 1, deaths: 1}, {attempts: 1, wipes: 1}} {
+	for _, b := range []bounds{{attempts: 1}, {attempts: 2}, {attempts: 1, deaths: 1}, {attempts: 1, wipes: 1}, {attempts: 1, keys: 2}, {attempts: 1, keys: 2, wipes: 1}} {
 		t.Run(fmt.Sprintf("%+v", b), func(t *testing.T) {
 			t.Parallel()
 			r := visit(t, b, *statesMost)
--- a/internal/holdings/holdings.go
+++ b/internal/holdings/holdings.go
@@ -63,6 +63,8 @@
 	Unknown     int    `json:"outcomes_unknown"`
 	Refused     int    `json:"refused_uncopied"` // before they ran: no majority in time
 	DiskFailed  int    `json:"disk_failures"`
+	Syncs       int64  `json:"disk_syncs"` // since the log was opened
+	Bytes       int64  `json:"disk_bytes"`
 	Repaired    uint64 `json:"keys_repaired"`
 	Repairing   int    `json:"keys_to_repair"`
 	Owed        int    `json:"keys_owed"` // of those to repair: a change of members waits for them
@@ -534,6 +536,7 @@
 	c := h.count
 	c.Repairing, c.Repaired = h.node.Repairing()
 	c.Owed = h.node.Owed()
+	c.Syncs, c.Bytes = h.disk.log.Written()
 	c.Held, c.Under = h.node.Held(), h.node.Under()
 	for _, p := range h.node.Group().All() {
 		if p.ID != h.cfg.ID && !h.peers.Up(p.ID) {
--- a/internal/procs/group.go
+++ b/internal/procs/group.go
@@ -253,6 +253,8 @@
 		Refused   int    `json:"refused_uncopied"`
 		AtRisk    int    `json:"results_at_risk"`
 		Disk      int    `json:"disk_failures"`
+		Syncs     int64  `json:"disk_syncs"`
+		Bytes     int64  `json:"disk_bytes"`
 	}
 }
 
--- a/internal/wal/commit.go
+++ b/internal/wal/commit.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -28,8 +29,13 @@
 	shut  bool
 	done  chan struct{}
 	err   error // of Close
+	syncs atomic.Int64
+	bytes atomic.Int64
 }
 
+// Written counts the syncs and the bytes of records so far.
+func (c *Committer) Written() (syncs, bytes int64) { return c.syncs.Load(), c.bytes.Load() }
+
 // entry is a record, or something to be done between two batches.
 type entry struct {
 	data []byte
@@ -134,13 +140,18 @@
 }
 
 func (c *Committer) commit(batch []entry) {
-	indexes, errs := make([]uint64, len(batch)), make([]error, len(batch))
+	indexes, errs, n := make([]uint64, len(batch)), make([]error, len(batch)), int64(0)
 	for i, e := range batch {
 		if e.do == nil {
 			indexes[i], errs[i] = c.log.Append(e.data)
+			n += int64(len(e.data))
 		}
 	}
 	err := c.log.Sync()
+	if n > 0 {
+		c.syncs.Add(1)
+		c.bytes.Add(n)
+	}
 	for i, e := range batch {
 		switch {
 		case e.do != nil && err == nil:
