Write structured log lines where RELAY_LOG asks for them, and follow windows at SIGHUP

Lines had a time of day and a text; with RELAY_LOG=json or console each names its time in full, the part that speaks and the process, by zap. The cap per kind stays.

--- a/cmd/pewterline/log_test.go
+++ b/cmd/pewterline/log_test.go
@@ -1,7 +1,10 @@
 package main
 
 import (
+	"bytes"
+	"encoding/json"
 	"fmt"
+	"log"
 	"testing"
 	"time"
 
@@ -28,3 +31,28 @@
 	c.Logf("bad %d", 1001)
 	require.Equal(t, "bad 1001", lines[linesAtOnce+2])
 }
+
+// A line in JSON names its time in full, the part that speaks and the process; a form that there is none of is an error.
+func TestLinesInJSON(t *testing.T) {
+	flags, out := log.Flags(), log.Writer()
+	defer func() { log.SetFlags(flags); log.SetOutput(out) }()
+	var b bytes.Buffer
+	require.NoError(t, logAs("json", &b))
+	newCapped().Logf("holdings: server %d can be reached: %v", 2, true)
+	log.Printf("n1 serves on %s", "here: now")
+	var got [2]struct {
+		Part, Msg, Ts string
+		PID           int
+	}
+	dec := json.NewDecoder(&b)
+	for i := range got {
+		require.NoError(t, dec.Decode(&got[i]))
+		_, err := time.Parse(time.RFC3339Nano, got[i].Ts)
+		require.NoError(t, err)
+		require.Positive(t, got[i].PID)
+	}
+	require.Equal(t, "holdings", got[0].Part)
+	require.Equal(t, "server 2 can be reached: true", got[0].Msg)
+	require.Equal(t, "main", got[1].Part)
+	require.ErrorContains(t, logAs("xml", &b), "RELAY_LOG")
+}
--- a/cmd/pewterline/main.go
+++ b/cmd/pewterline/main.go
@@ -29,7 +29,9 @@
 }
 
 func serve() error {
-	log.SetFlags(log.Ltime | log.Lmicroseconds)
+	if err := logAs(os.Getenv("RELAY_LOG"), os.Stderr); err != nil {
+		return err
+	}
 	// Before all else: a signal that comes while the program starts waits for it. Guards against SIGHUP or SIGTERM killing
 	// a server that reads its files, when many start at once. There is room for several, so that none is lost behind
 	// another.
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -151,6 +151,9 @@
 	if next.Control != s.cfg.Control {
 		s.cfg.Control, s.nextReport = next.Control, 0 // the new address hears of us at once
 	}
+	if s.held != nil {
+		s.held.Window(s.Window())
+	}
 	if s.pool != nil && next.Pool != s.cfg.Pool {
 		s.cfg.Pool = next.Pool
 		s.pool.dial()
