Keep a leave that was given up from taking the place of a later one's

A process that has given up asking for leave takes its own earlier leave's place with the next. A change that was given up may still be agreed on, behind the later one: it took that one's place in turn, was taken back as nobody wanted it, and another server got leave while the first one ran.

--- a/internal/decide/copies/copies.go
+++ b/internal/decide/copies/copies.go
@@ -237,7 +237,8 @@
 		return v, Unknown
 	case past && c.Act == Look:
 		return v, Free
-	case past, v.Kind == Intent && own && c.Fresh && c.Act == Leave:
+	// Not in the place of a later one's: guards a run against a leave that was given up before it and is agreed on behind it.
+	case past, v.Kind == Intent && own && c.Fresh && v.Try < c.Try && c.Act == Leave:
 		return Value{Kind: Intent, Owner: c.Self.ID, Life: c.Self.Life, Try: c.Try, At: c.At}, Run
 	case mine && c.Act == Leave:
 		return v, Run
--- a/internal/decide/ledger/ledger_test.go
+++ b/internal/decide/ledger/ledger_test.go
@@ -209,7 +209,11 @@
 		add(fmt.Sprintf("a change that was given up takes effect: %v", m.floats[f]), func(n *model) {
 			c := n.floats[f]
 			n.floats = slices.Delete(n.floats, f, f+1)
-			n.effect(&c)
+			// A leave that comes when nobody wants it any more is taken back, if its process still lives.
+			if n.effect(&c) == copies.Run && n.servers[c.Self.ID-1].life == c.Self.Life {
+				c.Act = copies.Void
+				n.floats = append(n.floats, c)
+			}
 		})
 	}
 	return out
@@ -221,7 +225,7 @@
 	return verdict
 }
 
-var statesMost = flag.Int("states", 120_000, "how many states TestAllOrders visits at most, of each model")
+var statesMost = flag.Int("states", 160_000, "how many states TestAllOrders visits at most, of each model")
 
 func visit(b bounds, most int) explore.Report {
 	m := &model{bounds: &b, values: make([]copies.Value, b.keys), ran: make([]int, b.keys)}
