Take a leave back that came to nothing, and put the store of record behind the ledger

A try whose leave no majority had answered in time was refused, and its leave might be agreed on behind it: others then waited for a run that there was none of, until the window was over. So did a try that was passed on to a waiting one: the leave of the first stayed, and the second was told that nobody knows (read in passOn, shown by TestPassedOnLeave).

--- a/internal/decide/ledger/ledger.go
+++ b/internal/decide/ledger/ledger.go
@@ -99,9 +99,9 @@
 		case Other:
 			return to(Elsewhere, Later)
 		case NoAnswer, Due:
-			// The leave may have been agreed on all the same. It is this process' own and came to nothing: the next one takes its
-			// place. Of other processes' tries nothing is known, and none is told that it has not run.
-			return to(Idle, Refuse)
+			// The leave may have been agreed on all the same, or may be yet: it is taken back, so that others need not wait for a
+			// run that there is none of. Where that comes to nothing too, this process' next leave takes its place.
+			return to(Voiding, Refuse, TakeBack)
 		}
 	case Elsewhere:
 		switch e {
--- a/internal/edge/record.go
+++ b/internal/edge/record.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 
+	"pewterline/internal/decide/ledger"
 	"pewterline/internal/micro"
 	"pewterline/internal/routing"
 	"pewterline/internal/store"
@@ -42,15 +43,19 @@
 			s.core.Restore(in)
 		}
 	}
-	s.core.UseRecorder(&recorder{s, st})
+	s.core.UseRecorder(&recorder{s, st, map[recordName]*ledger.Key{}})
 	s.logf("edge: %d intakes restored, of %d it is not known whether they ran", len(records), open)
 	return nil
 }
 
-// recorder is the core's way to the store, which works off the loop.
+// recordName names an intake in the store.
+type recordName struct{ tenant, once string }
+
+// recorder is the core's way to the store, which works off the loop. The store is the one holder of what the ledger decides.
 type recorder struct {
-	s  *Server
-	st Records
+	s    *Server
+	st   Records
+	keys map[recordName]*ledger.Key // of what has not come to an end, by tenant and once-key
 }
 
 func (r *recorder) record(in routing.Intake) store.Record {
@@ -62,40 +67,83 @@
 	return rec
 }
 
-func (r *recorder) write(rec store.Record, done func(error)) {
-	r.st.Record(rec, func(err error) {
-		// Once the loop has ended there is nobody left to answer.
-		_ = r.s.loop.Execute(func() { done(err) })
-	})
+// move takes an intake a step on, and carries out what the ledger says of the store. told hears what is said to whoever asked.
+func (r *recorder) move(in routing.Intake, ev ledger.Event, told func(ledger.Do, error)) {
+	rec := r.record(in)
+	name := recordName{rec.Tenant, rec.Once}
+	k := r.keys[name]
+	if k == nil {
+		k = &ledger.Key{}
+		r.keys[name] = k
+	}
+	var err error
+	var step func(ledger.Event)
+	write := func(rec store.Record, then ledger.Event) {
+		r.st.Record(rec, func(failed error) {
+			// Once the loop has ended there is nobody left to answer.
+			_ = r.s.loop.Execute(func() {
+				if err = failed; failed != nil {
+					then = ledger.NoAnswer
+				}
+				step(then)
+			})
+		})
+	}
+	step = func(ev ledger.Event) {
+		for _, d := range k.Step(ev) {
+			switch d {
+			case ledger.Ask:
+				intent := rec
+				intent.Intent, intent.Result = true, nil
+				write(intent, ledger.Granted)
+			case ledger.Copy:
+				if ev == ledger.Failed { // a life to come takes the intent for one whose end is not known
+					step(ledger.FoundBad)
+				} else {
+					write(rec, ledger.Found)
+				}
+			case ledger.TakeBack:
+				write(rec.Void(), ledger.Nothing)
+			case ledger.Later: // a repeat tries again
+			default:
+				told(d, err)
+			}
+		}
+		if (k.State == ledger.Idle || k.State == ledger.Copied) && r.keys[name] == k {
+			delete(r.keys, name) // the core keeps what has come to an end
+		}
+		if ev == ledger.NoAnswer && k.State == ledger.Idle {
+			r.s.logf("edge: an intent of %q that came to nothing stays on record: %v", in.Once, err)
+		}
+	}
+	step(ev)
 }
 
-// Record is part of routing.Recorder.
-func (r *recorder) Record(in routing.Intake, done func(error)) { r.write(r.record(in), done) }
-
 // Find is part of routing.Recorder: nobody else writes to this store.
 func (r *recorder) Find(routing.Intake, func(routing.Leave)) bool { return false }
 
-// Fail is part of routing.Recorder: a life to come takes the intent for one whose end is not known.
-func (r *recorder) Fail(routing.Intake) {}
-
 // Intend is part of routing.Recorder.
 func (r *recorder) Intend(in routing.Intake, done func(routing.Leave)) {
-	rec := r.record(in)
-	rec.Intent, rec.Result = true, nil
-	r.write(rec, func(err error) {
-		if err != nil {
-			done(routing.Leave{Word: routing.NoRecord, Err: err})
+	r.move(in, ledger.Try, func(d ledger.Do, err error) {
+		if d == ledger.Start {
+			done(routing.Leave{})
 			return
 		}
-		done(routing.Leave{})
+		done(routing.Leave{Word: routing.NoRecord, Err: err})
 	})
 }
 
 // Void is part of routing.Recorder. Where it is lost, a repeat after a restart fails for no reason but that nobody knows.
 func (r *recorder) Void(in routing.Intake) {
-	r.write(r.record(in).Void(), func(err error) {
-		if err != nil {
-			r.s.logf("edge: an intent of %q that came to nothing stays on record: %v", in.Once, err)
-		}
-	})
+	r.move(in, ledger.Unbegun, func(ledger.Do, error) {})
+}
+
+// Fail is part of routing.Recorder.
+func (r *recorder) Fail(in routing.Intake) {
+	r.move(in, ledger.Failed, func(ledger.Do, error) {})
+}
+
+// Record is part of routing.Recorder.
+func (r *recorder) Record(in routing.Intake, done func(error)) {
+	r.move(in, ledger.Passed, func(d ledger.Do, err error) { done(err) })
 }
--- a/internal/holdings/holdings.go
+++ b/internal/holdings/holdings.go
@@ -273,9 +273,6 @@
 			e := h.ops[q.ID]
 			if delete(h.ops, q.ID); e != nil && e.op == q.ID {
 				e.op = 0
-				if q.Verdict == copies.Run && q.Known {
-					e.try = q.Value.Try
-				}
 				h.move(e, ledger.Of(q.Verdict, q.Known), q.Value)
 			}
 		}
@@ -526,7 +523,9 @@
 		h.move(e, ledger.NoAnswer, copies.Value{})
 		return
 	}
-	e.op = id
+	if e.op = id; c.Act == copies.Leave {
+		e.try = id
+	}
 	h.ops[id] = e
 	h.flush(now)
 }
--- a/internal/procs/group_test.go
+++ b/internal/procs/group_test.go
@@ -262,6 +262,7 @@
 	require.NoError(t, g.Stall(1))
 	pool.Release()
 	g.unknown(t, 2, "lot") // once its own time is over: over 4 s
+	time.Sleep(time.Second)
 	require.NoError(t, g.Wake(1))
 	_, err := a.Answer()
 	require.NoError(t, err, "the caller of the stalled one gets an answer, if a late one")
@@ -303,6 +304,7 @@
 		late = append(late, a)
 	}
 	keys := g.fill(t, 10, 2, 3) // the same keys at others, and more
+	time.Sleep(20 * time.Second)
 	g.Ways(1, (*Relay).Heal)
 	for _, a := range late {
 		_, err := a.Answer()
--- a/internal/routing/record_test.go
+++ b/internal/routing/record_test.go
@@ -265,3 +265,24 @@
 	b.step()
 	require.Len(t, late.got, 1)
 }
+
+// A run that was not started is passed on to a try that waits: the leave of the first one is taken back before the other asks for its
+// own. Guards a group of servers against a leave that nobody uses, behind which all others would wait for a run that there is none of.
+func TestPassedOnLeave(t *testing.T) {
+	b := newBench(t)
+	b.core.UseRecorder(b)
+	_, first := b.try("k")
+	b.now += 100 * micro.Millisecond
+	second, id := b.try("k")
+	require.Len(t, b.intended, 1)
+	b.core.Finished(first, Unneeded, nil)
+	require.Equal(t, []string{"k"}, b.voided)
+	require.Len(t, b.intended, 2)
+	require.Equal(t, b.now, b.intended[1].At, "the window counts from the try that runs")
+	b.step()
+	b.core.Finished(id, Passed, []byte("r"))
+	require.Len(t, b.recorded, 1)
+	b.done[0](nil)
+	b.step()
+	require.Equal(t, []Answer{{Status: Served, Result: []byte("r")}}, second.got)
+}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -525,6 +525,9 @@
 	if i < 0 {
 		return false
 	}
+	if c.recorder != nil { // the leave was for the try that was not started; the other one asks for its own
+		c.recorder.Void(r.key.intake())
+	}
 	w := r.key.waiters[i]
 	r.key.waiters[0], r.key.waiters[i] = w, r.key.waiters[0]
 	r.key.expires += max(w.At-r.At, 0) // the window counts from the try that runs
