--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -12,6 +12,7 @@
 	"pewterline/internal/config"
 	"pewterline/internal/holdings"
 	"pewterline/internal/micro"
+	"pewterline/internal/peers"
 	"pewterline/internal/planted"
 	"pewterline/internal/protocol/lease"
 	"pewterline/internal/routing"
@@ -27,6 +28,9 @@
 	lingerMost  = 2 * micro.Second        // for the peer of a connection that was told farewell
 )
 
+// ExchangeListener is the index of the listener for other instances.
+const ExchangeListener = 2
+
 // Loop is what the server needs of the event loop.
 type Loop interface {
 	Now() micro.Time
@@ -112,7 +116,8 @@
 		s.held.Attach(l)
 	}
 	if s.servers != nil && len(s.cfg.Fleet.Peers) > 0 {
-		s.servers.exchange = newExchange(s, s.servers, l.Now())
+		s.servers.exchange = peers.NewExchange(peers.ExchangeConfig{Name: s.cfg.Name, Address: s.cfg.Fleet.Exchange, Peers: s.cfg.Fleet.Peers, Seed: s.cfg.Settings.Seed},
+			l, s.servers.fleet, s.logf)
 	}
 	if s.pool != nil {
 		s.pool.dial()
@@ -192,8 +197,8 @@
 		return s.acceptCopies(c)
 	case listener == AdminListener:
 		return &adminSession{s: s, conn: c}
-	case listener == exchangeListener && s.servers != nil && s.servers.exchange != nil:
-		return s.acceptExchange(c)
+	case listener == ExchangeListener && s.servers != nil && s.servers.exchange != nil:
+		return s.servers.exchange.Accept(c)
 	}
 	return s.acceptThrift(c)
 }
--- a/internal/edge/fleetrunner.go
+++ b/internal/edge/fleetrunner.go
@@ -11,6 +11,7 @@
 	"pewterline/internal/config"
 	"pewterline/internal/decide/fleet"
 	"pewterline/internal/micro"
+	"pewterline/internal/peers"
 	"pewterline/internal/protocol/thrift"
 	"pewterline/internal/routing"
 	"pewterline/internal/transport"
@@ -37,8 +38,9 @@
 	work     bag[*fleetRun] // the same, in an order of its own
 	pending  []*fleetRun    // that cannot be sent now; told in the turn's check, never from within Start
 	sweepAt  micro.Time
-	wasted   int       // tries that came to nothing for want of a server
-	exchange *exchange // nil: this instance has no others to talk with
+	wasted   int             // tries that came to nothing for want of a server
+	exchange *peers.Exchange // nil: this instance has no others to talk with
+	held     []*fleetRun     // until its first advice
 	out      []byte
 }
 
@@ -164,7 +166,8 @@
 func (r *fleetRunner) route(q *fleetRun) {
 	now := r.now()
 	q.again = micro.Never
-	if r.exchange != nil && r.exchange.hold(now, q) {
+	if r.exchange != nil && !r.exchange.Ready(now) { // a fresh instance waits for the first advice, for a bounded time
+		r.held = append(r.held, q)
 		return
 	}
 	var c fleet.Choice
@@ -339,7 +342,16 @@
 		r.forgetGone(now)
 	}
 	if r.exchange != nil {
-		next = r.exchange.check(now)
+		if next = r.exchange.Check(now); r.exchange.Ready(now) && len(r.held) > 0 {
+			held := r.held
+			r.held = nil
+			for _, q := range held {
+				if r.runs[q.ID] == q {
+					r.route(q)
+				}
+			}
+			next = now
+		}
 	}
 	if len(r.runs) > 0 {
 		next = min(next, r.checkRuns(now))
--- a/internal/edge/exchange.go
+++ b/internal/peers/exchange.go
@@ -1,4 +1,4 @@
-package edge
+package peers
 
 import (
 	"fmt"
@@ -11,28 +11,42 @@
 )
 
 const (
-	exchangeListener = 2 // its index among the listeners
 	exchangePatience = 500 * micro.Millisecond
 	exchangeConns    = 64 // that are accepted at once
 )
 
-// exchange has this instance and others tell each other what they know of the log servers.
-type exchange struct {
-	s       *Server
-	r       *fleetRunner
+// ExchangeLoop is what an exchange needs of the event loop.
+type ExchangeLoop interface {
+	Now() micro.Time
+	Try(addr string, open func(transport.Link) transport.Session, failed func()) (drop func())
+}
+
+// ExchangeConfig says who an instance is to the others.
+type ExchangeConfig struct {
+	Name    string
+	Address string   // where others reach it
+	Peers   []string // where it reaches others at first
+	Seed    uint64
+}
+
+// Exchange has this instance and others tell each other what they know of the log servers.
+type Exchange struct {
+	cfg     ExchangeConfig
+	loop    ExchangeLoop
+	fleet   *fleet.Fleet
 	peers   *fleet.Peers
+	logf    func(string, ...any)
 	started micro.Time
-	links   bag[*exchangeLink]
+	links   []*exchangeLink
 	taken   int // connections accepted and open
-	held    []*fleetRun
 	out     []byte
 	sent    int // bytes so far
 }
 
 // exchangeLink is a connection to another instance: one that we opened to ask on, or one that came to us.
 type exchangeLink struct {
-	seat
-	x       *exchange
+	at      int // its place among the links
+	x       *Exchange
 	conn    transport.Link // nil while it is being opened
 	drop    func()
 	address string // that we dialled; "" where it came to us
@@ -40,27 +54,37 @@
 	asking  bool
 }
 
-func newExchange(s *Server, r *fleetRunner, now micro.Time) *exchange {
-	return &exchange{s: s, r: r, started: now, peers: fleet.NewPeers(now, fleet.PeersConfig{}, s.cfg.Fleet.Peers, s.cfg.Settings.Seed)}
+// NewExchange returns an exchange of what f knows.
+func NewExchange(cfg ExchangeConfig, loop ExchangeLoop, f *fleet.Fleet, logf func(string, ...any)) *Exchange {
+	now := loop.Now()
+	return &Exchange{cfg: cfg, loop: loop, fleet: f, logf: logf, started: now, peers: fleet.NewPeers(now, fleet.PeersConfig{}, cfg.Peers, cfg.Seed)}
 }
 
-// hold keeps a run of a fresh instance until the first advice has come, for a bounded time.
-func (x *exchange) hold(now micro.Time, q *fleetRun) bool {
-	if x.peers.Ready(now) {
-		return false
-	}
-	x.held = append(x.held, q)
-	return true
+// Ready says that a fresh instance has heard first advice, or has waited long enough for it.
+func (x *Exchange) Ready(now micro.Time) bool { return x.peers.Ready(now) }
+
+func (x *Exchange) add(l *exchangeLink) {
+	l.at = len(x.links)
+	x.links = append(x.links, l)
+}
+
+// remove takes a link out; the last one takes its place, so that the order depends on nothing but what was done.
+func (x *Exchange) remove(l *exchangeLink) {
+	end := len(x.links) - 1
+	x.links[l.at] = x.links[end]
+	x.links[l.at].at = l.at
+	x.links[end] = nil
+	x.links = x.links[:end]
 }
 
-// check does what is due; it returns when to look again.
-func (x *exchange) check(now micro.Time) micro.Time {
+// Check does what is due; it returns when to look again.
+func (x *Exchange) Check(now micro.Time) micro.Time {
 	for _, address := range x.peers.Ask(now) {
 		x.ask(now, address)
 	}
 	next := x.peers.Due()
-	for i := x.links.len() - 1; i >= 0; i-- {
-		l := x.links.items[i]
+	for i := len(x.links) - 1; i >= 0; i-- {
+		l := x.links[i]
 		switch {
 		case !l.asking:
 		case now >= l.due:
@@ -69,34 +93,24 @@
 			next = min(next, l.due)
 		}
 	}
-	if x.peers.Ready(now) && len(x.held) > 0 {
-		held := x.held
-		x.held = nil
-		for _, q := range held {
-			if x.r.runs[q.ID] == q {
-				x.r.route(q)
-			}
-		}
-		next = now
-	}
 	return max(next, now)
 }
 
 // ask sends what we know to a peer, on the connection that is there or on a new one, and waits for what it knows.
-func (x *exchange) ask(now micro.Time, address string) {
-	i := slices.IndexFunc(x.links.items, func(l *exchangeLink) bool { return l.address == address })
+func (x *Exchange) ask(now micro.Time, address string) {
+	i := slices.IndexFunc(x.links, func(l *exchangeLink) bool { return l.address == address })
 	if i >= 0 {
-		x.links.items[i].begin(now)
+		x.links[i].begin(now)
 		return
 	}
 	l := &exchangeLink{x: x, address: address}
-	x.links.add(l)
+	x.add(l)
 	l.begin(now)
-	l.drop = x.s.loop.Try(address, func(c transport.Link) transport.Session {
+	l.drop = x.loop.Try(address, func(c transport.Link) transport.Session {
 		l.conn = c
 		l.write(true)
 		return l
-	}, func() { l.fail(x.s.loop.Now()) })
+	}, func() { l.fail(x.loop.Now()) })
 }
 
 func (l *exchangeLink) begin(now micro.Time) {
@@ -119,7 +133,7 @@
 }
 
 func (l *exchangeLink) gone(now micro.Time) {
-	l.x.links.remove(l)
+	l.x.remove(l)
 	if l.address == "" {
 		l.x.taken--
 	} else if l.asking {
@@ -130,8 +144,8 @@
 
 // write tells what we know.
 func (l *exchangeLink) write(asking bool) {
-	x, now := l.x, l.x.s.loop.Now()
-	m := gossip.Message{Name: x.s.cfg.Name, Uptime: now - x.started, Asking: asking, Facts: x.r.fleet.Tell(now, x.s.cfg.Name, gossip.MaxFacts)}
+	x, now := l.x, l.x.loop.Now()
+	m := gossip.Message{Name: x.cfg.Name, Uptime: now - x.started, Asking: asking, Facts: x.fleet.Tell(now, x.cfg.Name, gossip.MaxFacts)}
 	for _, p := range x.peers.Views(now) {
 		if p.Alive {
 			m.Peers = append(m.Peers, gossip.Peer{Name: p.Name, Address: p.Address})
@@ -139,19 +153,19 @@
 	}
 	out, err := gossip.Append(x.out[:0], m)
 	if x.out = out; err != nil {
-		x.s.logf("exchange: %v", err)
+		x.logf("exchange: %v", err)
 		return
 	}
 	x.sent += len(out)
 	l.conn.Write(out)
 }
 
-func (s *Server) acceptExchange(c transport.Link) transport.Session {
-	x := s.servers.exchange
+// Accept is the session of a connection that another instance has opened.
+func (x *Exchange) Accept(c transport.Link) transport.Session {
 	l := &exchangeLink{x: x, conn: c}
-	x.links.add(l)
+	x.add(l)
 	if x.taken++; x.taken > exchangeConns {
-		s.logf("exchange: %s turned away: %d connections are open", c.Remote(), x.taken-1)
+		x.logf("exchange: %s turned away: %d connections are open", c.Remote(), x.taken-1)
 		c.Close()
 	}
 	return l
@@ -173,16 +187,16 @@
 }
 
 func (l *exchangeLink) take(m gossip.Message) error {
-	x, now := l.x, l.x.s.loop.Now()
+	x, now := l.x, l.x.loop.Now()
 	if l.address == "" && !m.Asking || l.address != "" && !l.asking {
 		return fmt.Errorf("%w: an answer that nobody asked for", gossip.ErrFrame)
 	}
-	a := x.r.fleet.Heed(now, x.s.cfg.Name, fleet.Adviser{Name: m.Name, Uptime: m.Uptime}, m.Facts)
+	a := x.fleet.Heed(now, x.cfg.Name, fleet.Adviser{Name: m.Name, Uptime: m.Uptime}, m.Facts)
 	if a.Err != nil {
-		x.s.logf("exchange: %s: %d of %d facts are faulty, the first: %v", l.conn.Remote(), a.Faulty, len(m.Facts), a.Err)
+		x.logf("exchange: %s: %d of %d facts are faulty, the first: %v", l.conn.Remote(), a.Faulty, len(m.Facts), a.Err)
 	}
 	for _, p := range m.Peers {
-		if p.Address != x.s.cfg.Fleet.Exchange { // our own
+		if p.Address != x.cfg.Address { // our own
 			x.peers.Heard(p.Address, p.Name)
 		}
 	}
@@ -200,4 +214,4 @@
 func (l *exchangeLink) Idle() bool { return !l.asking }
 
 // Closed is part of transport.Session.
-func (l *exchangeLink) Closed() { l.gone(l.x.s.loop.Now()) }
+func (l *exchangeLink) Closed() { l.gone(l.x.loop.Now()) }
