Close without resetting, and leave nobody in the accept queue at the end

A close over bytes that lie unread resets the connection, and the answers that the peer has not read yet go with it: transport.Conn.flush, dismiss, makeRoom and deliver closed outright, and so did the end of the loop (Stop), which also left to a reset whoever lay in the accept queue, taken by the system and never by us. gnet accepts one connection a round, so that a full queue outlived a drain.

Ruled out: TCP_NODELAY (gnet sets it on its listeners, and Go on what is dialled); linger (SO_LINGER does not change what a close over unread bytes does).

Change: a connection is shut for writing first, what still arrives on it is passed over, and it is closed when its peer has closed it, a second later, after 256 KiB, or when the places run short; Finish does so for all of them before the loop ends. Unlisten keeps new handshakes out, accepts all that waits, and only then ends the listener; drain and hand-over use both.

The virtual world's judge now takes a server's shut for its close, as strictly as before: without that three planted bugs went unseen.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -26,6 +26,7 @@
 	sweepEvery  = 250 * micro.Millisecond // looks for idle connections
 	stopLead    = 100 * micro.Millisecond // we are gone this long before the process would be stopped
 	lingerMost  = 2 * micro.Second        // for the peer of a connection that was told farewell
+	finishMost  = 500 * micro.Millisecond // for the peers of the last connections to close them
 )
 
 // ExchangeListener is the index of the listener for other instances.
@@ -40,7 +41,8 @@
 	Send([]byte)
 	Execute(func()) error
 	Rand() uint64 // need not be secret
-	Stop()
+	Unlisten(listener int, done func())
+	Finish(by micro.Time)
 }
 
 // Wall converts between the wall clock, in Unix milliseconds, and the program's time.
@@ -75,9 +77,10 @@
 	requests int                          // taken by the core so far
 
 	nextReport, nextSweep micro.Time
-	reported              bool // the health last reported
-	drainAt, stopAt       micro.Time
+	reported              bool       // the health last reported
+	drainAt, stopAt, lead micro.Time // lead: the process would be stopped that long after stopAt
 	draining, farewell    bool
+	listening             int // listeners of clients that are to end and have not
 	stopped               bool
 }
 
@@ -296,17 +299,42 @@
 	if s.draining || s.handed {
 		return
 	}
-	s.draining, s.drainAt, s.stopAt = true, now, now+s.cfg.Stop-min(stopLead, s.cfg.Stop/4)
+	s.draining, s.drainAt = true, now
+	s.stopWithin(now, s.cfg.Stop)
 	s.core.Drain(now, s.stopAt)
 	s.logf("edge: draining, to stop within %v", (s.stopAt - now).Duration())
 }
 
+// stopWithin notes when the process ends, somewhat before it would be stopped.
+func (s *Server) stopWithin(now, stop micro.Time) {
+	s.lead = min(stopLead, stop/4)
+	s.stopAt = now + stop - s.lead
+}
+
+// unlisten refuses clients that come from now on; those that wait to be accepted are taken up first.
+func (s *Server) unlisten() {
+	for i, addr := range []string{s.cfg.Listen, s.cfg.AJP.Listen} {
+		if addr != "" {
+			s.listening++
+			s.loop.Unlisten(i, func() { s.listening-- })
+		}
+	}
+}
+
+// finish ends the program; half of the lead is for the last connections to be closed.
+func (s *Server) finish(now micro.Time) {
+	s.stopped = true
+	s.loop.Finish(min(s.stopAt+s.lead/2, now+finishMost))
+}
+
 // drain ends the program once all that was read is answered. New requests are welcome until none would run;
-// then farewell is bid, and the end waits for the peers to have closed, so that no request is cut off unread.
+// then nobody is accepted any more and farewell is bid, and the end waits for the peers to have closed, so that no request is
+// cut off unread.
 func (s *Server) drain(now micro.Time) micro.Time {
 	quiet := min(s.drainAt+micro.Of(s.cfg.Settings.DrainGrace), s.stopAt-lingerMost/4)
 	if now >= quiet && !s.farewell {
 		s.farewell = true
+		s.unlisten()
 		for _, t := range s.fronts.items {
 			t.farewell(now)
 		}
@@ -314,11 +342,10 @@
 			a.leave()
 		}
 	}
-	done := s.farewell && (s.core.Drained() && s.fronts.len()+s.offices.len() == 0 || planted.Bug(planted.LeaveOpen))
+	done := s.farewell && (s.listening == 0 && s.core.Drained() && s.fronts.len()+s.offices.len() == 0 || planted.Bug(planted.LeaveOpen))
 	if (done || now >= s.stopAt) && !s.stopped {
-		s.stopped = true
 		s.logf("edge: drained after %d requests, %d are open", s.requests, s.core.Open())
-		s.loop.Stop()
+		s.finish(now)
 	}
 	if s.stopped {
 		return micro.Never
--- a/internal/edge/handover.go
+++ b/internal/edge/handover.go
@@ -300,8 +300,10 @@
 		longest = max(longest, micro.Of(c.Deadline))
 	}
 	stop := min(s.cfg.Stop, min(longest, handMost)+handAfter)
-	s.handed, s.farewell, s.handedAt, s.stopAt = true, true, now, now+stop-min(stopLead, stop/4)
+	s.handed, s.farewell, s.handedAt = true, true, now
+	s.stopWithin(now, stop)
 	s.host.Steer(1)
+	s.unlisten()
 	s.core.HandOver()
 	s.kin.yours = true
 	s.kin.send(upgrade.Message{Kind: upgrade.Yours})
@@ -323,11 +325,10 @@
 	if now >= s.stopAt-stopLead/2 {
 		s.core.EndAll()
 	}
-	quiet := s.core.Open() == 0 && s.core.KeyedRuns() == 0 && s.fronts.len()+s.offices.len() == 0
+	quiet := s.listening == 0 && s.core.Open() == 0 && s.core.KeyedRuns() == 0 && s.fronts.len()+s.offices.len() == 0
 	if now >= s.handedAt+handLinger && quiet || now >= s.stopAt {
-		s.stopped = true
 		s.logf("edge: gone after %d requests, %d are open", s.requests, s.core.Open())
-		s.loop.Stop()
+		s.finish(now)
 		return micro.Never
 	}
 	for _, at := range []micro.Time{s.handedAt + handLinger, s.stopAt - stopLead/2} {
--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -411,6 +411,9 @@
 	case virtual.Halved: // who sends no more has left, as far as the program can tell
 		if v.Dialer {
 			c.left = true
+		} else if c.kind != link { // a server that sends no more answers nothing, and takes nothing that comes later
+			o.connEnded(c, v)
+			c.broken = true
 		}
 	case virtual.Ended:
 		o.connEnded(c, v)
--- a/internal/rules/rules_test.go
+++ b/internal/rules/rules_test.go
@@ -230,6 +230,19 @@
 			s.after(60 * micro.Millisecond)
 			s.event(1, virtual.Ended, "s0", "p0", false, nil)
 		}},
+		{"shut with a request open", "lost/closed by the server", func(s *scene) {
+			s.ask("a", "block-view", "")
+			s.after(60 * micro.Millisecond)
+			s.event(1, virtual.Halved, "s0", "p0", false, nil)
+		}},
+		{"shut as a request comes", "", func(s *scene) {
+			s.ask("a", "block-view", "")
+			s.event(1, virtual.Halved, "s0", "p0", false, nil)
+			s.ask("b", "block-view", "")
+			s.after(60 * micro.Millisecond)
+			s.event(1, virtual.Ended, "s0", "p0", false, nil)
+			s.o.Gone("s0", true)
+		}},
 		{"the caller left", "", func(s *scene) {
 			s.ask("a", "block-view", "")
 			s.event(1, virtual.Ended, "p0", "s0", true, nil)
--- a/internal/transport/sockets/sockets.go
+++ b/internal/transport/sockets/sockets.go
@@ -11,8 +11,10 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"net"
+	"os"
 	"sync/atomic"
 	"time"
 
@@ -53,7 +55,7 @@
 	engine gnet.Engine
 	el     gnet.EventLoop // from the first connection on
 	timer  *time.Timer
-	addrs  []*net.TCPAddr
+	bound  []bound
 	udp    net.Conn
 	ended  atomic.Bool
 	up     chan struct{}
@@ -105,7 +107,7 @@
 // enrolSelf has the loop begin: gnet gives its handle only by a connection, so a datagram socket of our own is
 // enrolled for as long as that takes.
 func (d *driver) enrolSelf() error {
-	c, err := net.Dial("udp", d.addrs[0].String()) // our own address: nothing is sent
+	c, err := net.Dial("udp", d.bound[0].addr.String()) // our own address: nothing is sent
 	if err != nil {
 		return fmt.Errorf("datagram socket: %w", err)
 	}
@@ -124,7 +126,7 @@
 type enrolling struct{}
 
 // Addr is the address that the listener of that index got.
-func (l *Loop) Addr(i int) *net.TCPAddr { return l.d.addrs[i] }
+func (l *Loop) Addr(i int) *net.TCPAddr { return l.d.bound[i].addr }
 
 // Wait returns when the loop has ended.
 func (l *Loop) Wait() error {
@@ -135,7 +137,9 @@
 
 // Stop is part of transport.Driver; Wait returns after it.
 func (d *driver) Stop() {
-	d.ended.Store(true)
+	if d.ended.Swap(true) {
+		return
+	}
 	go func() { _ = d.engine.Stop(context.Background()) }()
 }
 
@@ -168,15 +172,24 @@
 func (d *driver) OnBoot(e gnet.Engine) gnet.Action {
 	d.engine = e
 	for _, a := range d.opts.Listen {
-		var bound *net.TCPAddr
+		var b bound
 		if a != "" {
-			bound = boundAddr(e, a)
+			var err error
+			if b, err = find(e, a); err != nil {
+				d.opts.Logf("transport: %s: %v", a, err)
+			}
 		}
-		d.addrs = append(d.addrs, bound)
+		d.bound = append(d.bound, b)
 	}
 	return gnet.None
 }
 
+// bound is what the system gave a listener.
+type bound struct {
+	addr *net.TCPAddr // nil: there is none
+	fd   int          // gnet's descriptor of it; 0: not found
+}
+
 // OnTick is first called once the loop runs: from then on gnet can be given connections.
 func (d *driver) OnTick() (time.Duration, gnet.Action) {
 	if !d.ticked {
@@ -186,14 +199,18 @@
 	return time.Hour, gnet.None
 }
 
-// boundAddr asks the system where a listener is bound, as its port may have been left to it.
-func boundAddr(e gnet.Engine, a string) *net.TCPAddr {
+// find asks the system where a listener is bound, as its port may have been left to it.
+func find(e gnet.Engine, a string) (b bound, err error) {
 	fd, err := e.DupListener("tcp", a)
 	if err != nil {
-		return nil
+		return b, err
 	}
 	defer unix.Close(fd) //nolint:errcheck // a copy
-	return localAddr(fd)
+	if b.addr = localAddr(fd); b.addr == nil {
+		return b, errors.New("the listener has no address")
+	}
+	b.fd, err = original(fd, b.addr)
+	return b, err
 }
 
 func localAddr(fd int) *net.TCPAddr {
@@ -217,6 +234,7 @@
 	conn *transport.Conn
 	dial *transport.Dial // while it is being opened; nil: it came to a listener
 	to   int             // that listener
+	shut bool
 }
 
 // OnOpen gives a new connection its session.
@@ -236,9 +254,10 @@
 	if !ours {
 		s = &socket{d: d, to: d.listenerOf(gc)}
 		gc.SetContext(s)
+	} else {
+		_ = gc.SetNoDelay(true) // as the listeners have it
 	}
 	if s.gc = gc; s.dial != nil {
-		_ = gc.SetNoDelay(true)
 		s.conn = d.loop.Connected(s.dial, s)
 	} else {
 		s.conn = d.loop.Accept(s, s.to)
@@ -252,8 +271,8 @@
 // listenerOf finds the listener by the port that the connection came to.
 func (d *driver) listenerOf(gc gnet.Conn) int {
 	if local := localAddr(gc.Fd()); local != nil {
-		for i, a := range d.addrs {
-			if a != nil && a.Port == local.Port && (a.IP.Equal(local.IP) || a.IP.IsUnspecified()) {
+		for i, b := range d.bound {
+			if a := b.addr; a != nil && a.Port == local.Port && (a.IP.Equal(local.IP) || a.IP.IsUnspecified()) {
 				return i
 			}
 		}
@@ -292,6 +311,17 @@
 // Unsent is part of transport.Wire.
 func (s *socket) Unsent() int { return s.gc.OutboundBuffered() }
 
+// Shut is part of transport.Wire.
+func (s *socket) Shut() {
+	if s.shut || s.gc.OutboundBuffered() > 0 {
+		return
+	}
+	s.shut = true
+	if unix.Shutdown(s.gc.Fd(), unix.SHUT_WR) != nil {
+		s.Close() // the peer has reset it
+	}
+}
+
 // Close is part of transport.Wire.
 func (s *socket) Close() { _ = s.d.el.Close(s.gc) }
 
@@ -366,6 +396,112 @@
 	return nil
 }
 
+// unlistenMost is how many connections are taken up that wait at a listener: more than any queue holds.
+const unlistenMost = 1 << 16
+
+// Unlisten is part of transport.Driver. New handshakes are kept out first, so that nobody can come between the last look at the
+// queue and the close: whoever asks meanwhile is not answered, and is refused when it asks again. Those under way come to their
+// end. What waits is accepted here, as gnet accepts one in a round of its poller and can't be told to do so.
+func (d *driver) Unlisten(listener int, done func()) {
+	fd, err := d.engine.DupListener("tcp", d.opts.Listen[listener])
+	if err == nil && d.bound[listener].fd == 0 {
+		err = errors.Join(errors.New("the listener can't be ended"), unix.Close(fd))
+	}
+	if err != nil {
+		d.opts.Logf("transport: unlisten: %v", err)
+		done()
+		return
+	}
+	const flags, syn = 13, 0x02 // in a TCP header
+	keepOut := []unix.SockFilter{
+		{Code: unix.BPF_LD | unix.BPF_B | unix.BPF_ABS, K: flags},
+		{Code: unix.BPF_JMP | unix.BPF_JSET | unix.BPF_K, K: syn, Jf: 1},
+		{Code: unix.BPF_RET | unix.BPF_K, K: 0},
+		{Code: unix.BPF_RET | unix.BPF_K, K: math.MaxUint32},
+	}
+	// Not every system has it: what comes between the last look and the close is then reset.
+	_ = unix.SetsockoptSockFprog(fd, unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &unix.SockFprog{Len: uint16(len(keepOut)), Filter: &keepOut[0]})
+	d.unlisten(fd, listener, 0, done)
+}
+
+func (d *driver) unlisten(fd, listener, round int, done func()) {
+	waiting, err := acceptAll(fd)
+	if err != nil {
+		d.opts.Logf("transport: unlisten: %v", err)
+	}
+	if round > 0 && len(waiting) == 0 {
+		if err := d.endListener(fd, listener); err != nil {
+			d.opts.Logf("transport: unlisten: %v", err)
+		}
+		done()
+		return
+	}
+	go func() { // gnet takes up off the loop what was opened elsewhere
+		for _, nc := range waiting {
+			if err := d.register(nc, &socket{d: d, to: listener}); err != nil {
+				d.opts.Logf("transport: unlisten: %v", err)
+			}
+		}
+		if d.Queue(func() { d.unlisten(fd, listener, round+1, done) }) != nil {
+			_ = unix.Close(fd) // the loop has ended
+		}
+	}()
+}
+
+// acceptAll accepts all that waits at a listener.
+func acceptAll(fd int) (out []net.Conn, err error) {
+	for range unlistenMost {
+		c, _, err := unix.Accept4(fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+		switch err {
+		case nil:
+		case unix.EINTR, unix.ECONNABORTED, unix.ECONNRESET:
+			continue
+		case unix.EAGAIN:
+			return out, nil
+		default:
+			return out, fmt.Errorf("accept: %w", err)
+		}
+		file := os.NewFile(uintptr(c), "connection")
+		nc, err := net.FileConn(file) // a copy
+		if err = errors.Join(err, file.Close()); err != nil {
+			return out, err
+		}
+		out = append(out, nc)
+	}
+	return out, nil
+}
+
+// endListener closes the listener that fd is a copy of, and fd. gnet can't let go of one while it serves: another file takes its
+// descriptor, which takes it out of the poller, and gnet closes that in the end.
+func (d *driver) endListener(fd, listener int) error {
+	if err := unix.Close(fd); err != nil {
+		return err
+	}
+	other, err := unix.Socket(unix.AF_INET, unix.SOCK_DGRAM|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return err
+	}
+	defer unix.Close(other) //nolint:errcheck // its copy stays
+	return unix.Dup3(other, d.bound[listener].fd, unix.O_CLOEXEC)
+}
+
+// descriptorsMost is how many are looked through for a listener's, which is one of the first.
+const descriptorsMost = 1024
+
+// original finds the descriptor that fd, of a listener, is a copy of. It is called before anybody is accepted, whose connection
+// would have the same address.
+func original(fd int, addr *net.TCPAddr) (int, error) {
+	for n := range descriptorsMost {
+		if have := localAddr(n); n == fd || have == nil || have.Port != addr.Port || !have.IP.Equal(addr.IP) {
+			continue
+		}
+		if kind, err := unix.GetsockoptInt(n, unix.SOL_SOCKET, unix.SO_TYPE); err == nil && kind == unix.SOCK_STREAM {
+			return n, nil
+		}
+	}
+	return 0, errors.New("the listener's descriptor is not found")
+}
+
 // Datagrams is part of transport.Driver.
 func (d *driver) Datagrams(addr string) error {
 	var c net.Conn
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -28,6 +28,13 @@
 	StrangerMax = 1500 * micro.Millisecond // until something valid must have come
 	BusyLately  = 200 * micro.Millisecond  // not closed to make room: a request may be on its way
 	DialTimeout = time.Second              // of one attempt; what a Driver keeps to
+	PartMost    = micro.Second             // for the peer of a connection that has been shut to close it
+)
+
+const (
+	partSpill = 256 << 10              // bytes that may come on a connection that has been shut
+	partOver  = 4                      // connections that have been shut and are in nobody's place
+	partAgain = 10 * micro.Millisecond // looks whether all is sent of one that is to be shut
 )
 
 // Session is what a connection's bytes are for. Its methods run on the loop.
@@ -44,7 +51,7 @@
 // Link is what a session may do with its connection.
 type Link interface {
 	Write(p []byte) // sends p at the end of the turn
-	Close()         // ends the connection at the end of the turn, after what was written
+	Close()         // ends the connection at the end of the turn, after what was written; the peer gets all of it
 	Resume()        // has Receive called again with what it left, in a turn to come
 	Vouch()         // the peer has sent something valid: it is no stranger any more
 	Remote() string // names the peer
@@ -77,7 +84,10 @@
 	Send(p []byte)
 	// Rand is a random number. It need not be secret.
 	Rand() uint64
-	// Stop ends the loop.
+	// Unlisten takes up the connections that wait at the listener of that index, and then ends it and calls done on the loop:
+	// whoever comes later is refused.
+	Unlisten(listener int, done func())
+	// Stop ends the loop, with all connections as they are. It may be called again, and from anywhere.
 	Stop()
 }
 
@@ -87,7 +97,11 @@
 	Write(p []byte) error
 	// Unsent counts the bytes that are kept.
 	Unsent() int
-	// Close ends the connection; Ended is called before it returns.
+	// Shut tells the peer that nothing more is sent, once nothing is kept: until then it does nothing, and is called again. What
+	// arrives still goes to Received. It may call Ended.
+	Shut()
+	// Close ends the connection at once; Ended is called before it returns. What has arrived unread resets it, and takes along what
+	// the peer has not read yet.
 	Close()
 	// Remote names the peer.
 	Remote() string
@@ -120,6 +134,9 @@
 	strangers []*Conn
 	waiting   int     // bytes in the buffers of all connections
 	failed    []*Dial // to be dialled again
+	parting   []*Conn // shut, until their peers close them; oldest first
+	finishing bool    // nothing is accepted, and the loop stops with the last that parts
+	finishBy  micro.Time
 }
 
 // Conn is one connection, accepted or dialled. It has one buffer for what is read and not yet taken.
@@ -129,9 +146,12 @@
 	session Session
 	buf     []byte
 	out     []byte
-	closing bool // closed at the end of the turn, after what is unsent
-	closed  bool
-	room    *room // nil: dialled
+	closing bool       // closed at the end of the turn, after what is unsent
+	closed  bool       // the session has been told
+	gone    bool       // the driver has no more of it
+	until   micro.Time // shut: closed outright then
+	spilled int        // bytes that came since
+	room    *room      // nil: dialled
 	vouched bool
 	place   int        // in its room
 	since   micro.Time // it was accepted
@@ -139,10 +159,12 @@
 	counted int        // its share of the loop's waiting bytes
 }
 
-// room holds accepted connections; each knows its place.
+// room holds accepted connections; each knows its place. One that has been shut keeps its place while it can, as it holds a
+// descriptor.
 type room struct {
-	conns []*Conn
-	most  int
+	conns   []*Conn
+	most    int
+	parting int // of them
 }
 
 // New returns a loop on a driver, which has begun to run when it calls Begin; begin comes first on it, before any
@@ -159,7 +181,7 @@
 // idle connections beyond that are closed now; what is in use stays.
 func (l *Loop) Bound(conns, buffers int) {
 	l.hall.most, l.opts.Buffers = conns, buffers
-	for len(l.hall.conns) > conns && l.makeRoom(&l.hall) {
+	for len(l.hall.conns)-l.hall.parting > conns && l.makeRoom(&l.hall) {
 	}
 }
 
@@ -173,9 +195,37 @@
 	l.begin(l)
 }
 
-// Stop ends the loop.
+// Stop ends the loop, with all connections as they are.
 func (l *Loop) Stop() { l.driver.Stop() }
 
+// Unlisten takes up the connections that wait at the listener of that index, and then ends it and calls done in a turn.
+func (l *Loop) Unlisten(listener int, done func()) {
+	l.driver.Unlisten(listener, func() {
+		l.touch()
+		done()
+	})
+}
+
+// Finish shuts all accepted connections, after what was written, and ends the loop once their peers have closed them, or at a
+// time. Guards the last answers: a process that ends while something has arrived unread resets the connection.
+func (l *Loop) Finish(by micro.Time) {
+	l.touch()
+	l.finishing, l.finishBy = true, by
+	for _, r := range l.rooms() {
+		for _, c := range r.conns {
+			c.Close()
+		}
+	}
+}
+
+func (l *Loop) rooms() []*room {
+	out := []*room{&l.hall}
+	for _, r := range l.apart { // in any order: what is done with each is the same
+		out = append(out, r)
+	}
+	return out
+}
+
 // Execute runs f on the loop, in a turn. It may be called from anywhere.
 func (l *Loop) Execute(f func()) error {
 	return l.driver.Queue(func() {
@@ -211,6 +261,11 @@
 		l.dirty[i].flush()
 	}
 	l.dirty = l.dirty[:0]
+	next = min(next, l.part())
+	if l.finishing && (len(l.parting) == 0 || l.now >= l.finishBy) {
+		l.Stop()
+		return
+	}
 	if next != l.armed || next <= l.now {
 		l.armed = next
 		l.driver.Wake(next)
@@ -227,10 +282,16 @@
 	if r == nil {
 		r = &l.hall
 	}
-	if len(r.conns) >= r.most && !l.makeRoom(r) {
-		l.opts.Logf("transport: %s turned away: %d connections are open, all in use", w.Remote(), len(r.conns))
+	if l.finishing {
+		return nil
+	}
+	if len(r.conns)-r.parting >= r.most && !l.makeRoom(r) {
+		l.opts.Logf("transport: %s turned away: %d connections are open, all in use", w.Remote(), len(r.conns)-r.parting)
 		return nil
 	}
+	if len(r.conns) >= r.most+partOver {
+		l.cutOldest(r)
+	}
 	c := &Conn{loop: l, wire: w, room: r, place: len(r.conns), since: l.now, active: l.now}
 	r.conns = append(r.conns, c)
 	l.strangers = append(l.strangers, c)
@@ -238,12 +299,14 @@
 	return c
 }
 
-// Received hands what was read to the session; false: the driver is to close the connection. in is only lent.
+// Received hands what was read to the session; false: the driver is to close the connection. in is only lent. What comes once
+// the connection is to be closed is passed over: whoever sent it gets no answer on it.
 func (c *Conn) Received(in []byte) bool {
 	l := c.loop
 	l.touch()
 	if c.closing {
-		return true
+		c.spilled += len(in)
+		return c.spilled <= partSpill
 	}
 	c.active = l.now
 	// Guards the memory against a peer that sends faster than its session takes.
@@ -252,22 +315,23 @@
 		return false
 	}
 	c.buf = append(c.buf, in...)
-	if err := c.deliver(); err != nil {
-		return false
+	if c.deliver() {
+		c.count()
 	}
-	c.count()
 	return true
 }
 
-func (c *Conn) deliver() error {
+// deliver hands the session what waits; false: the connection has ended by that.
+func (c *Conn) deliver() bool {
 	n, err := c.session.Receive(c.buf)
 	if err != nil {
 		c.loop.opts.Logf("transport: %s closed: %v", c.Remote(), err)
-		c.flush() // what is owed already, such as the protocol's own error
-		return err
+		c.Close()
+		c.flush() // what is owed already, such as the protocol's own error; the session is told before the turn goes on
+		return false
 	}
 	c.compact(n)
-	return nil
+	return true
 }
 
 // Resume is part of Link. Where there is nothing left, there is nothing to do.
@@ -279,9 +343,7 @@
 		if c.closed || c.closing {
 			return
 		}
-		if err := c.deliver(); err != nil {
-			c.Close()
-		}
+		c.deliver()
 	})
 }
 
@@ -294,22 +356,86 @@
 	}
 }
 
-// Ended says that the connection is no more; the session hears of it. Calls after the first do nothing.
+// Ended says that the connection is no more; the session hears of it, unless it has. Calls after the first do nothing.
 func (c *Conn) Ended() {
-	l := c.loop
-	if c.closed {
+	if c.gone {
 		return
 	}
-	l.touch()
-	c.closed, c.buf, c.out = true, nil, nil
-	c.count()
+	c.loop.touch()
+	c.gone = true
 	if r := c.room; r != nil { // its place goes to the last one
+		if c.closed {
+			r.parting--
+		}
 		last := r.conns[len(r.conns)-1]
 		r.conns[c.place], last.place = last, c.place
 		r.conns[len(r.conns)-1] = nil
 		r.conns = r.conns[:len(r.conns)-1]
 	}
-	c.session.Closed()
+	c.end()
+}
+
+// end is the end of the connection for its session.
+func (c *Conn) end() {
+	told := c.closed
+	c.closed, c.closing, c.buf, c.out = true, true, nil, nil
+	c.count()
+	if !told {
+		c.session.Closed()
+	}
+}
+
+// leave ends the connection from this side: the session is told, and the peer gets what was written and hears that nothing
+// follows. Guards what it has not read yet: a close with something unread would reset the connection, and a request that
+// crosses it has to find that nobody takes it. The peer closes it, or it is closed after a while.
+func (c *Conn) leave() {
+	l := c.loop
+	c.end()
+	if c.gone {
+		return
+	}
+	if c.room != nil {
+		c.room.parting++
+	}
+	c.until = l.now + PartMost
+	l.parting = append(l.parting, c)
+	c.wire.Shut()
+}
+
+// part goes through the connections that have been shut; it returns when to do so again.
+func (l *Loop) part() micro.Time {
+	next, left := micro.Never, l.parting[:0]
+	if l.finishing {
+		next = l.finishBy
+	}
+	for _, c := range l.parting {
+		if !c.gone && l.now >= c.until {
+			c.wire.Close()
+		}
+		if c.gone {
+			continue
+		}
+		left, next = append(left, c), min(next, c.until)
+		c.count()
+		if c.wire.Unsent() > 0 {
+			next = min(next, l.now+partAgain)
+		} else {
+			c.wire.Shut()
+		}
+	}
+	clear(l.parting[len(left):])
+	l.parting = left
+	return next
+}
+
+// cutOldest closes outright the connection of a room that was shut the longest ago.
+func (l *Loop) cutOldest(r *room) {
+	for _, c := range l.parting {
+		if c.room == r && !c.gone {
+			c.wire.Close()
+			return
+		}
+	}
 }
 
 // Write is part of Link.
@@ -360,12 +486,13 @@
 		// Guards the memory against a peer that asks and does not read.
 		if n := c.wire.Unsent(); n > maxUnsent {
 			c.loop.opts.Logf("transport: %s closed: %d bytes are unread", c.Remote(), n)
-			c.closing = true
+			c.wire.Close()
+			return
 		}
 		c.count()
 	}
 	if c.closing {
-		c.wire.Close()
+		c.leave()
 	}
 }
 
@@ -394,14 +521,14 @@
 func (l *Loop) makeRoom(r *room) bool {
 	var last *Conn
 	for _, c := range l.strangers {
-		if !c.closed && !c.vouched && c.room == r {
+		if !c.closing && !c.vouched && c.room == r {
 			last = c
 			break
 		}
 	}
 	if last == nil {
 		for _, c := range r.conns {
-			if (c.session.Idle() || planted.Bug(planted.RoomOpen)) && c.active+BusyLately <= l.now && (last == nil || c.active < last.active) {
+			if !c.closing && (c.session.Idle() || planted.Bug(planted.RoomOpen)) && c.active+BusyLately <= l.now && (last == nil || c.active < last.active) {
 				last = c
 			}
 		}
@@ -409,8 +536,9 @@
 	if last == nil {
 		return false
 	}
-	l.opts.Logf("transport: %s closed to make room: %d connections are open", last.Remote(), len(r.conns))
-	last.wire.Close()
+	l.opts.Logf("transport: %s closed to make room: %d connections are open", last.Remote(), len(r.conns)-r.parting)
+	last.Close()
+	last.flush() // now, as its place is taken
 	return true
 }
 
@@ -418,7 +546,7 @@
 // could exhaust with little each: whoever has the most waiting goes first.
 func (c *Conn) count() {
 	l, n := c.loop, cap(c.buf)+cap(c.out)
-	if !c.closed {
+	if !c.gone {
 		n += c.wire.Unsent()
 	}
 	l.waiting += n - c.counted
@@ -426,6 +554,14 @@
 	if l.opts.Buffers == 0 || l.waiting <= l.opts.Buffers || c.closed {
 		return
 	}
+	for _, p := range l.parting { // what nobody may read any more goes first
+		if p.counted > 0 && !p.gone {
+			p.wire.Close()
+		}
+	}
+	if l.waiting <= l.opts.Buffers {
+		return
+	}
 	most := c
 	for _, o := range l.hall.conns { // those apart are few, and their sessions take little
 		if !o.closing && o.counted > most.counted {
--- a/internal/virtual/host.go
+++ b/internal/virtual/host.go
@@ -40,6 +40,7 @@
 	peer    string // of datagrams
 	Ended   bool
 	OnStop  func() // the program has ended of itself
+	listens map[int]*Listener
 	turns   uint64
 	refused func(string, ...any)
 }
@@ -54,7 +55,7 @@
 
 // NewHost returns a host on a node that has been booted; the program is Loop's to begin.
 func NewHost(n *Node, o transport.Options, h transport.Handler, rng *rand.Rand, cost Cost, begin func(*transport.Loop)) *Host {
-	host := &Host{node: n, life: n.Life, rng: rng, cost: cost, refused: o.Logf}
+	host := &Host{node: n, life: n.Life, rng: rng, cost: cost, refused: o.Logf, listens: map[int]*Listener{}}
 	host.loop = transport.New(o, host, h, begin)
 	host.tasks = append(host.tasks, host.loop.Begin)
 	host.wakeTurn()
@@ -69,7 +70,8 @@
 
 // Listen opens an address as the listener of that index.
 func (h *Host) Listen(addr string, index int) error {
-	_, err := h.node.Listen(addr, Listener{host: h, index: index})
+	l, err := h.node.Listen(addr, Listener{host: h, index: index})
+	h.listens[index] = l
 	return err
 }
 
@@ -235,6 +237,13 @@
 // Unsent is part of transport.Wire.
 func (c *hostConn) Unsent() int { return c.e.Unsent() }
 
+// Shut is part of transport.Wire.
+func (c *hostConn) Shut() {
+	if !c.h.Ended && c.e.Unsent() == 0 {
+		c.e.CloseWrite()
+	}
+}
+
 // Close is part of transport.Wire.
 func (c *hostConn) Close() {
 	if c.h.Ended {
@@ -304,6 +313,14 @@
 // Rand is part of transport.Driver.
 func (h *Host) Rand() uint64 { return h.rng.Uint64() }
 
+// Unlisten is part of transport.Driver. Who waits is a task ahead of done.
+func (h *Host) Unlisten(listener int, done func()) {
+	if l := h.listens[listener]; l != nil {
+		l.Close()
+	}
+	_ = h.Queue(done)
+}
+
 // Stop is part of transport.Driver: the process ends of itself. Its sockets are closed as a process's are.
 func (h *Host) Stop() {
 	if h.Ended {
