Count a notice to leave from when it came, and move the pool's link once it is bound

Signals are now sorted as they come, with the time; a reload runs beside; the drain, in the module too (Drain.Ago), counts from the signal. Told before it listens, the program ends without listening, so leaveAtTheStart asks for that instead of a drain it never needs. - A SIGHUP during a drain could lengthen rules.stop_sending_within_ms, and requests past the limit ran. - A SIGHUP that moved the pool closed the link in use as soon as the new one was open: an address at which somebody listens and says nothing stopped all runs.

--- a/cmd/pewterline/main.go
+++ b/cmd/pewterline/main.go
@@ -38,6 +38,10 @@
 	signals := make(chan os.Signal, 8)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	defer signal.Stop(signals)
+	clock := micro.NewClock()
+	ended := make(chan struct{})
+	defer close(ended)
+	leave, files := split(signals, clock, ended)
 	cfg, err := config.Load(os.Getenv)
 	if err != nil {
 		return err
@@ -46,7 +50,7 @@
 	// the binary included, is more than the heap. Two threads, so that a timer fires while the loop waits.
 	debug.SetMemoryLimit(cfg.Memory / 2)
 	runtime.GOMAXPROCS(2)
-	clock, logf := micro.NewClock(), newCapped().Logf
+	logf := newCapped().Logf
 	wall := wallOf(clock)
 	srv, err := edge.New(cfg, wall, logf)
 	if err != nil {
@@ -104,6 +108,13 @@
 		h.wait = wait
 	}
 	h.conns, h.buffers = opts.MaxConns, opts.Buffers
+	// Guards whoever would connect now: of the time that the sender of the notice gives, little may be left.
+	select {
+	case <-leave:
+		log.Printf("%s is told to leave before it serves", cfg.Name)
+		return nil
+	default:
+	}
 	loop, err := sockets.Start(opts, srv, func(l *transport.Loop) { srv.Attach(l) })
 	if err != nil {
 		return err
@@ -116,49 +127,10 @@
 			return err
 		}
 	}
-	ended := make(chan struct{})
-	defer close(ended)
-	go func() {
-		for {
-			select {
-			case sig := <-signals:
-				handle(sig, loop, srv)
-			case <-ended:
-				return
-			}
-		}
-	}()
+	go obey(leave, files, ended, loop, srv)
 	log.Printf("%s serves on %v", cfg.Name, loop.Addr(0))
 	if err := loop.Wait(); err != nil {
 		return err
 	}
 	return h.failed()
 }
-
-// executor is the loop, as signals need it.
-type executor interface {
-	Execute(func()) error
-	Now() micro.Time
-}
-
-// handle obeys a signal: SIGHUP has the configuration read anew, the others are the notice to drain.
-func handle(sig os.Signal, loop executor, srv *edge.Server) {
-	do := func() { srv.Leave(loop.Now()) }
-	if sig == syscall.SIGHUP {
-		// Read and checked as a whole before anything changes: a faulty file must not harm a server that serves.
-		cfg, err := config.Load(os.Getenv)
-		if err != nil {
-			log.Printf("SIGHUP: %v; nothing has changed", err)
-			do = srv.FileRefused
-		} else {
-			do = func() {
-				if err := srv.Reload(cfg); err != nil {
-					log.Printf("SIGHUP: %v; nothing has changed", err)
-				}
-			}
-		}
-	}
-	if err := loop.Execute(do); err != nil {
-		log.Printf("%v: %v", sig, err)
-	}
-}
--- a/control/api.go
+++ b/control/api.go
@@ -173,8 +173,8 @@
 	}
 	// Gone says that a caller has left: no answer is owed.
 	Gone struct{ ID ID }
-	// Drain is the notice to leave; the process is stopped at Stop.
-	Drain struct{ Stop time.Duration }
+	// Drain is the notice to leave, which came Ago before this step; the process is stopped at Stop.
+	Drain struct{ Stop, Ago time.Duration }
 	// Tick is a timer set by Wake, with the host's gauges.
 	Tick struct {
 		Mark   uint64
--- a/control/control.go
+++ b/control/control.go
@@ -226,7 +226,7 @@
 			c.release(r)
 		}
 	case Drain:
-		c.drained, c.drainAt, c.stop = true, c.now, e.Stop
+		c.drained, c.drainAt, c.stop = true, c.now-e.Ago, e.Stop
 		c.do(Health{Good: false, Stored: true}, Log{Text: "draining: notice to leave"})
 	case Tick:
 		c.busy = e.Gauges.Busy
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -145,6 +145,9 @@
 	if err := next.Lacks(s.cfg); err != nil {
 		return err
 	}
+	if s.draining { // whoever sent the notice counts by the settings of that moment, as stopAt does
+		next.Settings.DrainGrace = s.cfg.Settings.DrainGrace
+	}
 	if next.Control != s.cfg.Control {
 		if err := s.loop.Datagrams(next.Control); err != nil {
 			return fmt.Errorf("control: %w", err)
@@ -294,21 +297,23 @@
 	return id, err
 }
 
-// Drain is the notice to leave.
-func (s *Server) Drain(now micro.Time) {
+// Drain is the notice to leave, which came at a time up to now: whoever sent it counts from then, however long the program took
+// to start, or to come to it.
+func (s *Server) Drain(at micro.Time) {
 	if s.draining || s.handed {
 		return
 	}
-	s.draining, s.drainAt = true, now
-	s.stopWithin(now, s.cfg.Stop)
-	s.core.Drain(now, s.stopAt)
+	now := s.loop.Now()
+	s.draining, s.drainAt = true, at
+	s.stopWithin(at, s.cfg.Stop)
+	s.core.Drain(now, at, s.stopAt)
 	s.logf("edge: draining, to stop within %v", (s.stopAt - now).Duration())
 }
 
 // stopWithin notes when the process ends, somewhat before it would be stopped.
-func (s *Server) stopWithin(now, stop micro.Time) {
+func (s *Server) stopWithin(at, stop micro.Time) {
 	s.lead = min(stopLead, stop/4)
-	s.stopAt = now + stop - s.lead
+	s.stopAt = at + stop - s.lead
 }
 
 // unlisten refuses clients that come from now on; those that wait to be accepted are taken up first.
--- a/internal/edge/handover.go
+++ b/internal/edge/handover.go
@@ -289,19 +289,20 @@
 	k.key(upgrade.Failed, in)
 }
 
-// Leave is SIGTERM: a hand-over where a successor stands ready, else the notice to drain.
-func (s *Server) Leave(now micro.Time) {
+// Leave is SIGTERM, which came at a time up to now: a hand-over where a successor stands ready, else the notice to drain.
+func (s *Server) Leave(at micro.Time) {
 	if s.kin == nil || !s.kin.successor || !s.kin.synced || s.draining || s.handed {
-		s.Drain(now)
+		s.Drain(at)
 		return
 	}
+	now := s.loop.Now()
 	longest := micro.Time(0)
 	for _, c := range s.cfg.Settings.Classes {
 		longest = max(longest, micro.Of(c.Deadline))
 	}
 	stop := min(s.cfg.Stop, min(longest, handMost)+handAfter)
 	s.handed, s.farewell, s.handedAt = true, true, now
-	s.stopWithin(now, stop)
+	s.stopWithin(at, stop)
 	s.host.Steer(1)
 	s.unlisten()
 	s.core.HandOver()
--- a/internal/edge/pool.go
+++ b/internal/edge/pool.go
@@ -23,6 +23,7 @@
 type poolLink struct {
 	s       *Server
 	conn    transport.Link // nil while there is no link
+	next    transport.Link // to take its place once the pool has bound it; nil: none
 	drop    func()         // gives up the link that is being dialled; nil while none is
 	synced  bool           // the missed notices of this link have been read
 	links   int            // opened so far; names the poll that marks their end
@@ -53,7 +54,7 @@
 }
 
 // dial opens a new link, in place of any that is still being dialled. The link in use, if there is one, serves on
-// until the new one is open.
+// until the new one is bound: guards the runs against an address at which somebody listens and says nothing.
 func (p *poolLink) dial() {
 	if p.drop != nil {
 		p.drop()
@@ -62,21 +63,34 @@
 }
 
 func (p *poolLink) opened(c transport.Link) transport.Session {
-	if p.conn != nil {
-		p.conn.Close() // a new configuration has replaced it
+	p.drop = nil
+	if p.next != nil {
+		p.next.Close() // a newer configuration has replaced it
+	}
+	if p.next = c; p.conn == nil {
+		p.use()
 	}
-	p.conn, p.synced, p.drop, p.polled, p.begun, p.remarks = c, false, nil, nil, false, 0
-	p.links++
 	seen := p.notice
 	if planted.Bug(planted.NoticesPast) && seen > 0 {
 		seen++
 	}
-	p.write(pool.AppendBind(p.out[:0], seen))
+	p.out = pool.AppendBind(p.out[:0], seen)
+	c.Write(p.out)
 	return &poolSession{p, c}
 }
 
+// use puts the next link in the place of the one in use. What was told on that one since the bind comes again.
+func (p *poolLink) use() {
+	old := p.conn
+	p.conn, p.next, p.synced, p.polled, p.begun, p.remarks = p.next, nil, false, nil, false, 0
+	p.links++
+	if old != nil {
+		old.Close()
+	}
+}
+
 // poolSession is one link. Only the one in use is heard: guards against a link to an old address, whose notices
-// come again on the new one, and whose close must not have the new address dialled twice.
+// come again on the new one, and whose close must not have the new address dialled twice. The next one is heard to be bound.
 type poolSession struct {
 	*poolLink
 	link transport.Link
@@ -134,16 +148,22 @@
 
 // Receive is part of transport.Session.
 func (p *poolSession) Receive(in []byte) (int, error) {
-	if p.conn != p.link {
-		return len(in), nil
-	}
 	n := 0
 	for {
+		if p.conn != p.link && p.next != p.link {
+			return len(in), nil
+		}
 		m, size, err := pool.Parse(in[n:])
 		if err != nil || size == 0 {
 			return n, err
 		}
 		n += size
+		if p.next == p.link {
+			if m.Kind != pool.Bound {
+				continue
+			}
+			p.use()
+		}
 		if err := p.take(m); err != nil {
 			return n, err
 		}
@@ -155,11 +175,19 @@
 
 // Closed is part of transport.Session.
 func (p *poolSession) Closed() {
-	if p.conn != p.link {
+	switch p.link {
+	case p.next:
+		p.next = nil
+	case p.conn:
+		p.conn, p.synced = nil, false
+		p.s.logf("pool: link lost, %d runs under way", len(p.runs))
+		if p.next != nil {
+			p.use()
+			return
+		}
+	default:
 		return
 	}
-	p.conn, p.synced = nil, false
-	p.s.logf("pool: link lost, %d runs under way", len(p.runs))
 	if p.drop == nil {
 		p.dial()
 	}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -274,15 +274,15 @@
 	}
 }
 
-// Drain is the notice to leave: the process is stopped at stop.
-func (c *Core) Drain(now, stop micro.Time) {
+// Drain is the notice to leave, which came at a time up to now: the process is stopped at stop.
+func (c *Core) Drain(now, at, stop micro.Time) {
 	if c.drained {
 		return
 	}
 	c.Begin(now, 0, false)
-	c.drained, c.drainAt = true, now
+	c.drained, c.drainAt = true, at
 	if !planted.Bug(planted.LateStart) {
-		c.events = append(c.events, control.Drain{Stop: stop.Duration()})
+		c.events = append(c.events, control.Drain{Stop: stop.Duration(), Ago: (now - at).Duration()})
 	}
 }
 
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -312,7 +312,8 @@
 	// Guards the memory against a peer that sends faster than its session takes.
 	if len(c.buf)+len(in) > maxUntaken {
 		l.opts.Logf("transport: %s closed: over %d bytes wait to be taken", c.Remote(), maxUntaken)
-		return false
+		c.Close() // what it is owed goes out first
+		return true
 	}
 	c.buf = append(c.buf, in...)
 	if c.deliver() {
