Do not send a single_shot request again on the pool's next link, and accept in batches

Seen by reading: poolLink.resync sends again what may have been lost with a link unless Run.Once says that it must not run twice, and routing.start set Once for keyed classes alone. A single_shot request that had ended between the missed notices and the command ran anew. Once now follows the class's effect.

Unlisten accepted the whole queue at once with three descriptors for each, which could run out of them, upon which gnet ends the program; it takes four at a time.

TestSingleShotIsNotSentAgain (a pool that closes the link) fails with the old line, which was tried.

--- a/internal/edge/end_test.go
+++ b/internal/edge/end_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"pewterline/control"
 	"pewterline/internal/config"
 	"pewterline/internal/micro"
 	"pewterline/internal/protocol/thrift"
@@ -194,6 +195,32 @@
 	require.Empty(t, h.pool.started)
 }
 
+// Guards requests that run once, without a key to tell: one whose command went out on a link that broke is not sent again on the
+// next, as the pool would run it anew if it has ended since. Its notice comes if it arrived. A safe one is sent again.
+func TestSingleShotIsNotSentAgain(t *testing.T) {
+	h := newHouse(t, func(cfg *config.Config) {
+		for i, c := range cfg.Settings.Classes {
+			if c.Name == "lot-update" {
+				cfg.Settings.Classes[i].Effect = control.Unsafe
+			}
+		}
+	})
+	p := h.known() // a request of that class, and notice 1
+	single := h.ask(p, "lot-update", "")
+	require.Equal(t, single, <-h.pool.started)
+	safe := h.ask(p, "block-view", "")
+	require.Equal(t, safe, <-h.pool.started)
+	h.pool.mu.Lock()
+	require.NoError(t, h.pool.conn.Close())
+	h.pool.mu.Unlock()
+	require.Equal(t, safe, <-h.pool.started, "sent again on the next link, in the order of the first")
+	h.pool.finish(single, "ran once")
+	require.Equal(t, "ran once", string(heard(p).Body))
+	require.Empty(t, h.pool.started)
+	h.loop.Stop()
+	h.ends()
+}
+
 // moved is a second address for the pool, to which the configuration has moved it; the test plays it.
 type moved struct {
 	t  *testing.T
--- a/internal/edge/fleetrunner.go
+++ b/internal/edge/fleetrunner.go
@@ -108,7 +108,7 @@
 func (r *fleetRunner) Start(run routing.Run) {
 	q := &fleetRun{Run: run, req: run.Request, class: r.s.cfg.Settings.Classes[run.Request.Class], hedge: micro.Never, again: micro.Never}
 	q.due = q.req.At + micro.Of(q.class.Deadline)
-	q.keyed, q.key = run.Once, fleet.Key{Tenant: q.req.Tenant, Once: q.req.Once}
+	q.keyed, q.key = q.class.Effect == control.Keyed, fleet.Key{Tenant: q.req.Tenant, Once: q.req.Once}
 	r.runs[run.ID] = q
 	r.work.add(q)
 	r.attempts.First(r.now(), q.req.Caller)
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -63,7 +63,7 @@
 	ID    string
 	Class string
 	Body  []byte
-	Once  bool       // it must not be run twice
+	Once  bool       // it must not be run twice: of a keyed class, or of one whose requests run once
 	Due   micro.Time // by then nobody waits for its end any more
 	// Request is what it came from, for runners that pass it on. It is not to be changed.
 	Request *Request
@@ -398,7 +398,7 @@
 func (c *Core) start(r *request) {
 	k := c.settings.Classes[r.Class]
 	c.figures[r.Class].Tries++
-	c.runner.Start(Run{ID: r.RunID, Class: k.Name, Body: r.Body, Once: r.key != nil,
+	c.runner.Start(Run{ID: r.RunID, Class: k.Name, Body: r.Body, Once: k.Effect != control.Safe,
 		Due: r.At + micro.Of(max(k.Deadline, k.Window)), Request: &r.Request})
 }
 
--- a/internal/transport/sockets/sockets.go
+++ b/internal/transport/sockets/sockets.go
@@ -396,8 +396,9 @@
 	return nil
 }
 
-// unlistenMost is how many connections are taken up that wait at a listener: more than any queue holds.
-const unlistenMost = 1 << 16
+// unlistenBatch is how many connections that wait at a listener are taken up at once. Each holds three descriptors until gnet has
+// it; guards against running out of them, upon which gnet would give up.
+const unlistenBatch = 4
 
 // Unlisten is part of transport.Driver. New handshakes are kept out first, so that nobody can come between the last look at the
 // queue and the close: whoever asks meanwhile is not answered, and is refused when it asks again. Those under way come to their
@@ -425,7 +426,7 @@
 }
 
 func (d *driver) unlisten(fd, listener, round int, done func()) {
-	waiting, err := acceptAll(fd)
+	waiting, err := acceptSome(fd)
 	if err != nil {
 		d.opts.Logf("transport: unlisten: %v", err)
 	}
@@ -448,9 +449,9 @@
 	}()
 }
 
-// acceptAll accepts all that waits at a listener.
-func acceptAll(fd int) (out []net.Conn, err error) {
-	for range unlistenMost {
+// acceptSome accepts what waits at a listener, a batch at most.
+func acceptSome(fd int) (out []net.Conn, err error) {
+	for len(out) < unlistenBatch {
 		c, _, err := unix.Accept4(fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
 		switch err {
 		case nil:
