Show that a second notice and a successor told to leave harm nothing

Two orders of signals that were read and found safe, with real processes: SIGTERM twice and SIGHUP during a drain, with a run under way; SIGTERM to a new process before the old one has handed over. Both pass on the program as it was; they hold it there.

--- a/cmd/pewterline/signals_test.go
+++ b/cmd/pewterline/signals_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"strings"
 	"syscall"
 	"testing"
 
@@ -27,3 +28,48 @@
 	require.NoError(t, p.Wait(), p.Log())
 	require.Contains(t, p.Log(), "drained")
 }
+
+// Guards what is under way against a notice that comes twice, and a reload behind it: the drain goes on as it began, and a run that
+// ends later is answered.
+func TestLeaveTwice(t *testing.T) {
+	t.Parallel()
+	w := newTwin(t)
+	p := w.start()
+	c := w.dial()
+	p.Pool.Hold()
+	running := w.ask(c, "lot-intake", "k1", "one")
+	require.NoError(t, p.Pool.Started("one"))
+	require.NoError(t, p.Signal(syscall.SIGTERM))
+	for !strings.Contains(p.Log(), "edge: draining") {
+		require.False(t, p.Ended())
+	}
+	require.NoError(t, p.Signal(syscall.SIGTERM))
+	require.NoError(t, p.Signal(syscall.SIGHUP))
+	for !strings.Contains(p.Log(), "read anew") { // both have been heard
+		require.False(t, p.Ended())
+	}
+	p.Pool.Release()
+	w.served(running, "one")
+	c.Close()
+	require.NoError(t, p.Wait(), p.Log())
+	require.Equal(t, 1, strings.Count(p.Log(), "edge: draining"))
+	w.once()
+}
+
+// Guards an upgrade that is taken back: the new process is told to leave before the old one has handed over. It ends, and the old one
+// serves on, with its keys.
+func TestSuccessorIsToldToLeave(t *testing.T) {
+	t.Parallel()
+	w := newTwin(t)
+	old := w.start()
+	c := w.dial()
+	w.served(w.ask(c, "lot-intake", "k1", "one"), "one")
+	next := w.start()
+	require.NoError(t, next.Signal(syscall.SIGTERM))
+	require.NoError(t, next.Wait(), next.Log())
+	d := w.dial()
+	w.served(w.ask(d, "lot-intake", "k1", "one"), "one")
+	w.served(w.ask(d, "lot-intake", "k2", "two"), "two")
+	require.False(t, old.Ended())
+	w.once()
+}
