--- a/internal/edge/end_test.go
+++ b/internal/edge/end_test.go
@@ -329,3 +329,28 @@
 	h.loop.Stop()
 	h.ends()
 }
+
+// Guards the once-only rule where a window is shorter than a run: a repeat that comes behind the window, while the run goes on, waits
+// for it.
+func TestRepeatBehindItsWindowWaitsForTheRun(t *testing.T) {
+	h := newHouse(t, func(cfg *config.Config) {
+		for i, c := range cfg.Settings.Classes {
+			if c.Name == "lot-intake" {
+				cfg.Settings.Classes[i].Window = 500 * time.Millisecond
+			}
+		}
+	})
+	p := h.known()
+	id := h.ask(p, "lot-intake", "k1")
+	require.Equal(t, id, <-h.pool.started)
+	h.pass(2 * micro.Second)
+	h.ask(p, "lot-intake", "k1")
+	safe := h.ask(p, "lot-update", "") // read behind the repeat
+	require.Equal(t, safe, <-h.pool.started)
+	h.pool.finish(id, "once")
+	require.Equal(t, "once", string(heard(p).Body))
+	require.Equal(t, "once", string(heard(p).Body))
+	require.Empty(t, h.pool.started)
+	h.loop.Stop()
+	h.ends()
+}
