--- a/internal/edge/admin.go
+++ b/internal/edge/admin.go
@@ -119,8 +119,8 @@
 	if s.out == in {
 		s.out = !in
 		s.logf("admin: in service: %v, %d requests are open", in, s.core.Open())
-		if s.kin != nil { // the word is about the log server, not about this process
-			s.kin.send(upgrade.Message{Kind: upgrade.Service, Out: s.out})
+		if s.peer != nil { // the word is about the log server, not about this process
+			s.peer.send(upgrade.Message{Kind: upgrade.Service, Out: s.out})
 		}
 	}
 	return s.state(), nil
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -22,11 +22,11 @@
 const (
 	// Fifteen reports fit before an entry lapses: a quarter of them may be lost, and a lost NotReady of a drain
 	// costs no more than this.
-	reportEvery = 200 * micro.Millisecond
-	sweepEvery  = 250 * micro.Millisecond // looks for idle connections
-	stopLead    = 100 * micro.Millisecond // we are gone this long before the process would be stopped
-	lingerMost  = 2 * micro.Second        // for the peer of a connection that was told farewell
-	finishMost  = 500 * micro.Millisecond // for the peers of the last connections to close them
+	reportEvery  = 200 * micro.Millisecond
+	sweepEvery   = 250 * micro.Millisecond // looks for idle connections
+	stopLead     = 100 * micro.Millisecond // we are gone this long before the process would be stopped
+	lingerMost   = 2 * micro.Second        // for the peer of a connection that was told farewell
+	shutdownMost = 500 * micro.Millisecond // for the peers of the last connections to close them
 )
 
 // ExchangeListener is the index of the listener for other instances.
@@ -41,8 +41,8 @@
 	Send([]byte)
 	Execute(func()) error
 	Rand() uint64 // need not be secret
-	Unlisten(listener int, done func())
-	Finish(by micro.Time)
+	CloseListener(listener int, done func())
+	Shutdown(by micro.Time)
 }
 
 // Wall converts between the wall clock, in Unix milliseconds, and the program's time.
@@ -69,8 +69,8 @@
 	fronts   bag[*thriftSession]
 	offices  bag[*ajpSession]
 	host     Host
-	kin      *kin // the other process, in an upgrade
-	handed   bool // it has taken over from this one
+	peer     *peerProcess // the other process, in an upgrade
+	handed   bool         // it has taken over from this one
 	handedAt micro.Time
 	out      bool                         // of service, by the operators' word
 	files    struct{ taken, refused int } // at SIGHUP
@@ -226,8 +226,8 @@
 	if !s.handed {
 		next = min(next, s.nextReport)
 	}
-	if s.kin != nil && s.kin.successor {
-		next = min(next, s.kin.check(now))
+	if s.peer != nil && s.peer.successor {
+		next = min(next, s.peer.check(now))
 	}
 	if s.handed {
 		next = min(next, s.leaveHanded(now))
@@ -316,20 +316,20 @@
 	s.stopAt = at + stop - s.lead
 }
 
-// unlisten refuses clients that come from now on; those that wait to be accepted are taken up first.
-func (s *Server) unlisten() {
+// closeListeners refuses clients that come from now on; those that wait to be accepted are taken up first.
+func (s *Server) closeListeners() {
 	for i, addr := range []string{s.cfg.Listen, s.cfg.AJP.Listen} {
 		if addr != "" {
 			s.listening++
-			s.loop.Unlisten(i, func() { s.listening-- })
+			s.loop.CloseListener(i, func() { s.listening-- })
 		}
 	}
 }
 
-// finish ends the program; half of the lead is for the last connections to be closed.
-func (s *Server) finish(now micro.Time) {
+// shutdown ends the program; half of the lead is for the last connections to be closed.
+func (s *Server) shutdown(now micro.Time) {
 	s.stopped = true
-	s.loop.Finish(min(s.stopAt+s.lead/2, now+finishMost))
+	s.loop.Shutdown(min(s.stopAt+s.lead/2, now+shutdownMost))
 }
 
 // drain ends the program once all that was read is answered. New requests are welcome until none would run;
@@ -339,7 +339,7 @@
 	quiet := min(s.drainAt+micro.Of(s.cfg.Settings.DrainGrace), s.stopAt-lingerMost/4)
 	if now >= quiet && !s.farewell {
 		s.farewell = true
-		s.unlisten()
+		s.closeListeners()
 		for _, t := range s.fronts.items {
 			t.farewell(now)
 		}
@@ -350,7 +350,7 @@
 	done := s.farewell && (s.listening == 0 && s.core.Drained() && s.fronts.len()+s.offices.len() == 0 || planted.Bug(planted.LeaveOpen))
 	if (done || now >= s.stopAt) && !s.stopped {
 		s.logf("edge: drained after %d requests, %d are open", s.requests, s.core.Open())
-		s.finish(now)
+		s.shutdown(now)
 	}
 	if s.stopped {
 		return micro.Never
--- a/internal/edge/fleet_test.go
+++ b/internal/edge/fleet_test.go
@@ -2,11 +2,11 @@
 
 import (
 	"fmt"
-	"net"
 	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 
 	"pewterline/internal/config"
 	"pewterline/internal/decide/fleet"
@@ -57,12 +57,20 @@
 	}
 }
 
+// deadAddress is one at which nobody listens until the test's end: it is held, so that no server of the test's gets it.
+func deadAddress(t *testing.T) string {
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	require.NoError(t, err)
+	t.Cleanup(func() { unix.Close(fd) })
+	require.NoError(t, unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	at, err := unix.Getsockname(fd)
+	require.NoError(t, err)
+	return fmt.Sprintf("127.0.0.1:%d", at.(*unix.SockaddrInet4).Port)
+}
+
 // What refuses connects is left out at once, and its requests are served elsewhere: nothing of it reaches the caller.
 func TestLoopbackEdgeLeavesOutTheDead(t *testing.T) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	dead := ln.Addr().String()
-	require.NoError(t, ln.Close())
+	dead := deadAddress(t)
 	pool := newSocketPool(t)
 	alive, _, _ := serveLoopback(t, testConfig(t, pool.ln.Addr().String()), "")
 	desk, _ := serveEdge(t, dead, alive)
@@ -82,10 +90,7 @@
 
 // An edge whose servers have all gone refuses at once, with advice, and holds nothing back.
 func TestLoopbackEdgeWithoutServers(t *testing.T) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	dead := ln.Addr().String()
-	require.NoError(t, ln.Close())
+	dead := deadAddress(t)
 	desk, _ := serveEdge(t, dead)
 	a := dial(t, desk, thrift.Split)
 	sendIntake(a, "k1")
--- a/internal/edge/handover.go
+++ b/internal/edge/handover.go
@@ -39,8 +39,8 @@
 // UseHost lets the server hand over to a successor, and take over.
 func (s *Server) UseHost(h Host) { s.host = h }
 
-// kin is the link between an old process and its successor.
-type kin struct {
+// peerProcess is the link between an old process and its successor.
+type peerProcess struct {
 	s         *Server
 	conn      transport.Link
 	successor bool // the other one is the successor
@@ -55,15 +55,15 @@
 }
 
 func (s *Server) acceptHandover(c transport.Link) transport.Session {
-	return &kin{s: s, conn: c, successor: true}
+	return &peerProcess{s: s, conn: c, successor: true}
 }
 
 // Inherit takes up what a predecessor has told before the loop runs. It comes before Attach.
 func (s *Server) Inherit(told []upgrade.Message) error {
-	s.kin = &kin{s: s, greeted: true, synced: true}
-	s.core.Join(s.kin, handover.Asker)
+	s.peer = &peerProcess{s: s, greeted: true, synced: true}
+	s.core.Join(s.peer, handover.Asker)
 	for _, m := range told {
-		if err := s.kin.take(m); err != nil {
+		if err := s.peer.take(m); err != nil {
 			return err
 		}
 	}
@@ -73,12 +73,12 @@
 
 // Predecessor is the session of the link to the predecessor.
 func (s *Server) Predecessor(c transport.Link) transport.Session {
-	s.kin.conn = c
-	return s.kin
+	s.peer.conn = c
+	return s.peer
 }
 
 // Receive is part of transport.Session.
-func (k *kin) Receive(in []byte) (int, error) {
+func (k *peerProcess) Receive(in []byte) (int, error) {
 	n := 0
 	if !k.greeted {
 		ok, err := upgrade.CheckPreamble(in)
@@ -101,15 +101,15 @@
 }
 
 // Idle is part of transport.Session.
-func (k *kin) Idle() bool { return false }
+func (k *peerProcess) Idle() bool { return false }
 
 // Closed is part of transport.Session: the other process is gone, or as good as gone.
-func (k *kin) Closed() {
+func (k *peerProcess) Closed() {
 	s := k.s
-	if s.kin != k {
+	if s.peer != k {
 		return
 	}
-	s.kin = nil
+	s.peer = nil
 	s.logf("edge: the %s is gone, hand-over done: %v", k.who(), k.yours)
 	s.core.LostOther()
 	s.host.Share(-1)
@@ -118,23 +118,23 @@
 	}
 }
 
-func (k *kin) who() string {
+func (k *peerProcess) who() string {
 	if k.successor {
 		return "successor"
 	}
 	return "predecessor"
 }
 
-func (k *kin) send(m upgrade.Message) {
+func (k *peerProcess) send(m upgrade.Message) {
 	if k.conn != nil {
 		k.out = upgrade.Append(k.out[:0], m)
 		k.conn.Write(k.out)
 	}
 }
 
-func (k *kin) take(m upgrade.Message) error {
+func (k *peerProcess) take(m upgrade.Message) error {
 	s := k.s
-	if s.kin != k { // a stranger until it has said hello
+	if s.peer != k { // a stranger until it has said hello
 		if m.Kind != upgrade.Hello || !k.successor {
 			return fmt.Errorf("%w: kind %d before hello", upgrade.ErrFrame, m.Kind)
 		}
@@ -183,7 +183,7 @@
 }
 
 // greet takes a process for the successor, unless this one leaves or has an other already.
-func (k *kin) greet(m upgrade.Message) error {
+func (k *peerProcess) greet(m upgrade.Message) error {
 	s := k.s
 	why := ""
 	switch {
@@ -191,7 +191,7 @@
 		why = fmt.Sprintf("this is %s", s.cfg.Name)
 	case s.draining || s.handed:
 		why = "leaving"
-	case s.kin != nil:
+	case s.peer != nil:
 		why = "an upgrade is under way"
 	}
 	k.conn.Vouch()
@@ -201,7 +201,7 @@
 		k.conn.Close()
 		return nil
 	}
-	s.kin, k.since = k, s.loop.Now()
+	s.peer, k.since = k, s.loop.Now()
 	s.logf("edge: a successor has come")
 	s.host.Steer(0)
 	s.host.Share(0) // it gets no connections yet
@@ -215,7 +215,7 @@
 }
 
 // more tells the next keys, or that these were all.
-func (k *kin) more() {
+func (k *peerProcess) more() {
 	if k.synced {
 		return
 	}
@@ -234,7 +234,7 @@
 
 // check does what is due; it returns when to look again. Guards the next upgrade against a successor that hangs while it is
 // told: it would keep its place for as long as it lives.
-func (k *kin) check(now micro.Time) micro.Time {
+func (k *peerProcess) check(now micro.Time) micro.Time {
 	if !k.synced && now >= k.since+hearMost {
 		k.s.logf("edge: the successor has not heard all keys within %v", hearMost.Duration())
 		k.conn.Close()
@@ -248,7 +248,7 @@
 }
 
 // conns tells the successor how many connections are open, so that both keep to one limit.
-func (k *kin) conns() {
+func (k *peerProcess) conns() {
 	n := k.s.fronts.len() + k.s.offices.len()
 	if k.told != n {
 		k.told = n
@@ -256,7 +256,7 @@
 	}
 }
 
-func (k *kin) key(kind upgrade.Kind, in routing.Intake) {
+func (k *peerProcess) key(kind upgrade.Kind, in routing.Intake) {
 	m := upgrade.Message{Kind: kind, Class: k.s.cfg.Settings.Classes[in.Class].Name, Once: in.Once, AtMS: k.s.wall.UnixMilli(in.At)}
 	if in.Tenant < len(k.s.cfg.Settings.Tenants) {
 		m.Tenant = k.s.cfg.Settings.Tenants[in.Tenant].Name
@@ -268,19 +268,19 @@
 }
 
 // Claim is part of routing.Other.
-func (k *kin) Claim(in routing.Intake) { k.key(upgrade.Claim, in) }
+func (k *peerProcess) Claim(in routing.Intake) { k.key(upgrade.Claim, in) }
 
 // Grant is part of routing.Other.
-func (k *kin) Grant(in routing.Intake) { k.key(upgrade.Grant, in) }
+func (k *peerProcess) Grant(in routing.Intake) { k.key(upgrade.Grant, in) }
 
 // Began is part of routing.Other.
-func (k *kin) Began(in routing.Intake) { k.key(upgrade.Began, in) }
+func (k *peerProcess) Began(in routing.Intake) { k.key(upgrade.Began, in) }
 
 // Freed is part of routing.Other.
-func (k *kin) Freed(in routing.Intake) { k.key(upgrade.Freed, in) }
+func (k *peerProcess) Freed(in routing.Intake) { k.key(upgrade.Freed, in) }
 
 // Ended is part of routing.Other.
-func (k *kin) Ended(in routing.Intake, end routing.End) {
+func (k *peerProcess) Ended(in routing.Intake, end routing.End) {
 	// A result that no message holds has run all the same: the other process must not run it, and can't serve it.
 	if end == routing.Passed && len(in.Result) <= upgrade.MaxResult {
 		k.key(upgrade.Passed, in)
@@ -291,7 +291,7 @@
 
 // Leave is SIGTERM, which came at a time up to now: a hand-over where a successor stands ready, else the notice to drain.
 func (s *Server) Leave(at micro.Time) {
-	if s.kin == nil || !s.kin.successor || !s.kin.synced || s.draining || s.handed {
+	if s.peer == nil || !s.peer.successor || !s.peer.synced || s.draining || s.handed {
 		s.Drain(at)
 		return
 	}
@@ -304,10 +304,10 @@
 	s.handed, s.farewell, s.handedAt = true, true, now
 	s.stopWithin(at, stop)
 	s.host.Steer(1)
-	s.unlisten()
+	s.closeListeners()
 	s.core.HandOver()
-	s.kin.yours = true
-	s.kin.send(upgrade.Message{Kind: upgrade.Yours})
+	s.peer.yours = true
+	s.peer.send(upgrade.Message{Kind: upgrade.Yours})
 	for _, t := range s.fronts.items {
 		t.farewell(now)
 	}
@@ -329,7 +329,7 @@
 	quiet := s.listening == 0 && s.core.Open() == 0 && s.core.KeyedRuns() == 0 && s.fronts.len()+s.offices.len() == 0
 	if now >= s.handedAt+handLinger && quiet || now >= s.stopAt {
 		s.logf("edge: gone after %d requests, %d are open", s.requests, s.core.Open())
-		s.finish(now)
+		s.shutdown(now)
 		return micro.Never
 	}
 	for _, at := range []micro.Time{s.handedAt + handLinger, s.stopAt - stopLead/2} {
--- a/internal/edge/loopback_test.go
+++ b/internal/edge/loopback_test.go
@@ -45,6 +45,7 @@
 			p.conn = c
 			p.mu.Unlock()
 			p.serve(c)
+			c.Close()
 		}
 	}()
 	return p
--- a/internal/edge/play_test.go
+++ b/internal/edge/play_test.go
@@ -88,10 +88,10 @@
 	f()
 	return nil
 }
-func (s *stage) Now() micro.Time             { return s.now }
-func (s *stage) Rand() uint64                { return 7 }
-func (s *stage) Finish(micro.Time)           { s.stopped = true }
-func (s *stage) Unlisten(_ int, done func()) { done() }
+func (s *stage) Now() micro.Time                  { return s.now }
+func (s *stage) Rand() uint64                     { return 7 }
+func (s *stage) Shutdown(micro.Time)              { s.stopped = true }
+func (s *stage) CloseListener(_ int, done func()) { done() }
 func (s *stage) Send(p []byte) {
 	if text := string(p); text != s.report {
 		s.report, s.reports = text, append(s.reports, text)
--- a/internal/transport/sockets/part_test.go
+++ b/internal/transport/sockets/linger_test.go
@@ -56,7 +56,7 @@
 		close func(*handClock, *Loop, *echoSession)
 	}{
 		"by its session":   {"v", func(_ *handClock, _ *Loop, s *echoSession) { s.link.Close() }},
-		"as the loop ends": {"v", func(c *handClock, l *Loop, _ *echoSession) { l.Finish(c.Now() + micro.Second) }},
+		"as the loop ends": {"v", func(c *handClock, l *Loop, _ *echoSession) { l.Shutdown(c.Now() + micro.Second) }},
 		"to make room":     {"vi", func(_ *handClock, l *Loop, _ *echoSession) { l.Bound(0, 0) }},
 		"as a stranger":    {"i", func(*handClock, *Loop, *echoSession) {}}, // by the end of the turn, whose time is past its own
 	} {
@@ -155,8 +155,8 @@
 }
 
 // A connection that was shut and that its peer never closes goes after a while, and so does one on which bytes come without
-// end; until then at most partOver of them stand beside those that are in use.
-func TestPartingIsBounded(t *testing.T) {
+// end; until then at most lingerConns of them stand beside those that are in use.
+func TestLingeringIsBounded(t *testing.T) {
 	const most, over = 2, 4
 	e, clock := &echo{answer: []byte("r")}, &handClock{}
 	l := startWith(t, e, Options{Options: transport.Options{MaxConns: most}, Clock: clock})
@@ -173,7 +173,7 @@
 		require.LessOrEqual(t, open(), most+over)
 		require.Equal(t, min(i+1, most+over), open(), "those that were shut are left to their peers while there is room")
 	}
-	clock.move(t, l, transport.PartMost)
+	clock.move(t, l, transport.LingerMost)
 	clock.move(t, l, 0)
 	require.Equal(t, most, open())
 	// Without end.
@@ -192,7 +192,7 @@
 // Connections that wait to be accepted as a listener ends are taken up, and get their answers; whoever comes later is refused.
 // All of them come while the loop stands still, so that none has been accepted; a batch of them no longer waits when it goes on.
 func TestNobodyIsLeftInTheQueue(t *testing.T) {
-	const waiting = 3*unlistenBatch + 1
+	const waiting = 3*acceptBatch + 1
 	e := &echo{answer: []byte("r")}
 	l := start(t, e, 99)
 	queue := func() int {
@@ -213,8 +213,8 @@
 			cs = append(cs, c)
 		}
 		require.Equal(t, waiting, queue())
-		l.Unlisten(0, func() { close(done) })
-		require.Equal(t, waiting-unlistenBatch, queue())
+		l.CloseListener(0, func() { close(done) })
+		require.Equal(t, waiting-acceptBatch, queue())
 	}))
 	<-done
 	for _, c := range cs {
--- a/internal/transport/sockets/sockets.go
+++ b/internal/transport/sockets/sockets.go
@@ -311,8 +311,8 @@
 // Unsent is part of transport.Wire.
 func (s *socket) Unsent() int { return s.gc.OutboundBuffered() }
 
-// Shut is part of transport.Wire.
-func (s *socket) Shut() {
+// CloseWrite is part of transport.Wire.
+func (s *socket) CloseWrite() {
 	if s.shut || s.gc.OutboundBuffered() > 0 {
 		return
 	}
@@ -396,20 +396,20 @@
 	return nil
 }
 
-// unlistenBatch is how many connections that wait at a listener are taken up at once. Each holds three descriptors until gnet has
+// acceptBatch is how many connections that wait at a listener are taken up at once. Each holds three descriptors until gnet has
 // it; guards against running out of them, upon which gnet would give up.
-const unlistenBatch = 4
+const acceptBatch = 4
 
-// Unlisten is part of transport.Driver. New handshakes are kept out first, so that nobody can come between the last look at the
+// CloseListener is part of transport.Driver. New handshakes are kept out first, so that nobody can come between the last look at the
 // queue and the close: whoever asks meanwhile is not answered, and is refused when it asks again. Those under way come to their
 // end. What waits is accepted here, as gnet accepts one in a round of its poller and can't be told to do so.
-func (d *driver) Unlisten(listener int, done func()) {
+func (d *driver) CloseListener(listener int, done func()) {
 	fd, err := d.engine.DupListener("tcp", d.opts.Listen[listener])
 	if err == nil && d.bound[listener].fd == 0 {
 		err = errors.Join(errors.New("the listener can't be ended"), unix.Close(fd))
 	}
 	if err != nil {
-		d.opts.Logf("transport: unlisten: %v", err)
+		d.opts.Logf("transport: close listener: %v", err)
 		done()
 		return
 	}
@@ -422,17 +422,17 @@
 	}
 	// Not every system has it: what comes between the last look and the close is then reset.
 	_ = unix.SetsockoptSockFprog(fd, unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &unix.SockFprog{Len: uint16(len(keepOut)), Filter: &keepOut[0]})
-	d.unlisten(fd, listener, 0, done)
+	d.closeListener(fd, listener, 0, done)
 }
 
-func (d *driver) unlisten(fd, listener, round int, done func()) {
+func (d *driver) closeListener(fd, listener, round int, done func()) {
 	waiting, err := acceptSome(fd)
 	if err != nil {
-		d.opts.Logf("transport: unlisten: %v", err)
+		d.opts.Logf("transport: close listener: %v", err)
 	}
 	if round > 0 && len(waiting) == 0 {
 		if err := d.endListener(fd, listener); err != nil {
-			d.opts.Logf("transport: unlisten: %v", err)
+			d.opts.Logf("transport: close listener: %v", err)
 		}
 		done()
 		return
@@ -440,10 +440,10 @@
 	go func() { // gnet takes up off the loop what was opened elsewhere
 		for _, nc := range waiting {
 			if err := d.register(nc, &socket{d: d, to: listener}); err != nil {
-				d.opts.Logf("transport: unlisten: %v", err)
+				d.opts.Logf("transport: close listener: %v", err)
 			}
 		}
-		if d.Queue(func() { d.unlisten(fd, listener, round+1, done) }) != nil {
+		if d.Queue(func() { d.closeListener(fd, listener, round+1, done) }) != nil {
 			_ = unix.Close(fd) // the loop has ended
 		}
 	}()
@@ -451,7 +451,7 @@
 
 // acceptSome accepts what waits at a listener, a batch at most.
 func acceptSome(fd int) (out []net.Conn, err error) {
-	for len(out) < unlistenBatch {
+	for len(out) < acceptBatch {
 		c, _, err := unix.Accept4(fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
 		switch err {
 		case nil:
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -28,13 +28,13 @@
 	StrangerMax = 1500 * micro.Millisecond // until something valid must have come
 	BusyLately  = 200 * micro.Millisecond  // not closed to make room: a request may be on its way
 	DialTimeout = time.Second              // of one attempt; what a Driver keeps to
-	PartMost    = micro.Second             // for the peer of a connection that has been shut to close it
+	LingerMost  = micro.Second             // for the peer of a connection that has been shut to close it
 )
 
 const (
-	partSpill = 256 << 10              // bytes that may come on a connection that has been shut
-	partOver  = 4                      // connections that have been shut and are in nobody's place
-	partAgain = 10 * micro.Millisecond // looks whether all is sent of one that is to be shut
+	lingerBytes = 256 << 10              // bytes that may come on a connection that has been shut
+	lingerConns = 4                      // connections that have been shut and are in nobody's place
+	lingerPoll  = 10 * micro.Millisecond // looks whether all is sent of one that is to be shut
 )
 
 // Session is what a connection's bytes are for. Its methods run on the loop.
@@ -84,9 +84,9 @@
 	Send(p []byte)
 	// Rand is a random number. It need not be secret.
 	Rand() uint64
-	// Unlisten takes up the connections that wait at the listener of that index, and then ends it and calls done on the loop:
+	// CloseListener takes up the connections that wait at the listener of that index, and then ends it and calls done on the loop:
 	// whoever comes later is refused.
-	Unlisten(listener int, done func())
+	CloseListener(listener int, done func())
 	// Stop ends the loop, with all connections as they are. It may be called again, and from anywhere.
 	Stop()
 }
@@ -97,9 +97,9 @@
 	Write(p []byte) error
 	// Unsent counts the bytes that are kept.
 	Unsent() int
-	// Shut tells the peer that nothing more is sent, once nothing is kept: until then it does nothing, and is called again. What
+	// CloseWrite tells the peer that nothing more is sent, once nothing is kept: until then it does nothing, and is called again. What
 	// arrives still goes to Received. It may call Ended.
-	Shut()
+	CloseWrite()
 	// Close ends the connection at once; Ended is called before it returns. What has arrived unread resets it, and takes along what
 	// the peer has not read yet.
 	Close()
@@ -131,12 +131,12 @@
 	hall    room          // of most listeners
 	apart   map[int]*room // of those that have places of their own
 	// Accepted connections that had sent nothing valid when they were last looked at, oldest first.
-	strangers []*Conn
-	waiting   int     // bytes in the buffers of all connections
-	failed    []*Dial // to be dialled again
-	parting   []*Conn // shut, until their peers close them; oldest first
-	finishing bool    // nothing is accepted, and the loop stops with the last that parts
-	finishBy  micro.Time
+	strangers    []*Conn
+	waiting      int     // bytes in the buffers of all connections
+	failed       []*Dial // to be dialled again
+	lingering    []*Conn // shut, until their peers close them; oldest first
+	shuttingDown bool    // nothing is accepted, and the loop stops with the last that parts
+	shutdownBy   micro.Time
 }
 
 // Conn is one connection, accepted or dialled. It has one buffer for what is read and not yet taken.
@@ -162,9 +162,9 @@
 // room holds accepted connections; each knows its place. One that has been shut keeps its place while it can, as it holds a
 // descriptor.
 type room struct {
-	conns   []*Conn
-	most    int
-	parting int // of them
+	conns     []*Conn
+	most      int
+	lingering int // of them
 }
 
 // New returns a loop on a driver, which has begun to run when it calls Begin; begin comes first on it, before any
@@ -181,7 +181,7 @@
 // idle connections beyond that are closed now; what is in use stays.
 func (l *Loop) Bound(conns, buffers int) {
 	l.hall.most, l.opts.Buffers = conns, buffers
-	for len(l.hall.conns)-l.hall.parting > conns && l.makeRoom(&l.hall) {
+	for len(l.hall.conns)-l.hall.lingering > conns && l.makeRoom(&l.hall) {
 	}
 }
 
@@ -198,19 +198,19 @@
 // Stop ends the loop, with all connections as they are.
 func (l *Loop) Stop() { l.driver.Stop() }
 
-// Unlisten takes up the connections that wait at the listener of that index, and then ends it and calls done in a turn.
-func (l *Loop) Unlisten(listener int, done func()) {
-	l.driver.Unlisten(listener, func() {
+// CloseListener takes up the connections that wait at the listener of that index, and then ends it and calls done in a turn.
+func (l *Loop) CloseListener(listener int, done func()) {
+	l.driver.CloseListener(listener, func() {
 		l.touch()
 		done()
 	})
 }
 
-// Finish shuts all accepted connections, after what was written, and ends the loop once their peers have closed them, or at a
+// Shutdown shuts all accepted connections, after what was written, and ends the loop once their peers have closed them, or at a
 // time. Guards the last answers: a process that ends while something has arrived unread resets the connection.
-func (l *Loop) Finish(by micro.Time) {
+func (l *Loop) Shutdown(by micro.Time) {
 	l.touch()
-	l.finishing, l.finishBy = true, by
+	l.shuttingDown, l.shutdownBy = true, by
 	for _, r := range l.rooms() {
 		for _, c := range r.conns {
 			c.Close()
@@ -261,8 +261,8 @@
 		l.dirty[i].flush()
 	}
 	l.dirty = l.dirty[:0]
-	next = min(next, l.part())
-	if l.finishing && (len(l.parting) == 0 || l.now >= l.finishBy) {
+	next = min(next, l.sweepLingering())
+	if l.shuttingDown && (len(l.lingering) == 0 || l.now >= l.shutdownBy) {
 		l.Stop()
 		return
 	}
@@ -282,15 +282,15 @@
 	if r == nil {
 		r = &l.hall
 	}
-	if l.finishing {
+	if l.shuttingDown {
 		return nil
 	}
-	if len(r.conns)-r.parting >= r.most && !l.makeRoom(r) {
-		l.opts.Logf("transport: %s turned away: %d connections are open, all in use", w.Remote(), len(r.conns)-r.parting)
+	if len(r.conns)-r.lingering >= r.most && !l.makeRoom(r) {
+		l.opts.Logf("transport: %s turned away: %d connections are open, all in use", w.Remote(), len(r.conns)-r.lingering)
 		return nil
 	}
-	if len(r.conns) >= r.most+partOver {
-		l.cutOldest(r)
+	if len(r.conns) >= r.most+lingerConns {
+		l.closeOldestLingering(r)
 	}
 	c := &Conn{loop: l, wire: w, room: r, place: len(r.conns), since: l.now, active: l.now}
 	r.conns = append(r.conns, c)
@@ -306,7 +306,7 @@
 	l.touch()
 	if c.closing {
 		c.spilled += len(in)
-		return c.spilled <= partSpill
+		return c.spilled <= lingerBytes
 	}
 	c.active = l.now
 	// Guards the memory against a peer that sends faster than its session takes.
@@ -366,7 +366,7 @@
 	c.gone = true
 	if r := c.room; r != nil { // its place goes to the last one
 		if c.closed {
-			r.parting--
+			r.lingering--
 		}
 		last := r.conns[len(r.conns)-1]
 		r.conns[c.place], last.place = last, c.place
@@ -386,30 +386,30 @@
 	}
 }
 
-// leave ends the connection from this side: the session is told, and the peer gets what was written and hears that nothing
+// linger ends the connection from this side: the session is told, and the peer gets what was written and hears that nothing
 // follows. Guards what it has not read yet: a close with something unread would reset the connection, and a request that
 // crosses it has to find that nobody takes it. The peer closes it, or it is closed after a while.
-func (c *Conn) leave() {
+func (c *Conn) linger() {
 	l := c.loop
 	c.end()
 	if c.gone {
 		return
 	}
 	if c.room != nil {
-		c.room.parting++
+		c.room.lingering++
 	}
-	c.until = l.now + PartMost
-	l.parting = append(l.parting, c)
-	c.wire.Shut()
+	c.until = l.now + LingerMost
+	l.lingering = append(l.lingering, c)
+	c.wire.CloseWrite()
 }
 
-// part goes through the connections that have been shut; it returns when to do so again.
-func (l *Loop) part() micro.Time {
-	next, left := micro.Never, l.parting[:0]
-	if l.finishing {
-		next = l.finishBy
+// sweepLingering goes through the connections that have been shut; it returns when to do so again.
+func (l *Loop) sweepLingering() micro.Time {
+	next, left := micro.Never, l.lingering[:0]
+	if l.shuttingDown {
+		next = l.shutdownBy
 	}
-	for _, c := range l.parting {
+	for _, c := range l.lingering {
 		if !c.gone && l.now >= c.until {
 			c.wire.Close()
 		}
@@ -419,19 +419,19 @@
 		left, next = append(left, c), min(next, c.until)
 		c.count()
 		if c.wire.Unsent() > 0 {
-			next = min(next, l.now+partAgain)
+			next = min(next, l.now+lingerPoll)
 		} else {
-			c.wire.Shut()
+			c.wire.CloseWrite()
 		}
 	}
-	clear(l.parting[len(left):])
-	l.parting = left
+	clear(l.lingering[len(left):])
+	l.lingering = left
 	return next
 }
 
-// cutOldest closes outright the connection of a room that was shut the longest ago.
-func (l *Loop) cutOldest(r *room) {
-	for _, c := range l.parting {
+// closeOldestLingering closes outright the connection of a room that was shut the longest ago.
+func (l *Loop) closeOldestLingering(r *room) {
+	for _, c := range l.lingering {
 		if c.room == r && !c.gone {
 			c.wire.Close()
 			return
@@ -493,7 +493,7 @@
 		c.count()
 	}
 	if c.closing {
-		c.leave()
+		c.linger()
 	}
 }
 
@@ -537,7 +537,7 @@
 	if last == nil {
 		return false
 	}
-	l.opts.Logf("transport: %s closed to make room: %d connections are open", last.Remote(), len(r.conns)-r.parting)
+	l.opts.Logf("transport: %s closed to make room: %d connections are open", last.Remote(), len(r.conns)-r.lingering)
 	last.Close()
 	last.flush() // now, as its place is taken
 	return true
@@ -555,7 +555,7 @@
 	if l.opts.Buffers == 0 || l.waiting <= l.opts.Buffers || c.closed {
 		return
 	}
-	for _, p := range l.parting { // what nobody may read any more goes first
+	for _, p := range l.lingering { // what nobody may read any more goes first
 		if p.counted > 0 && !p.gone {
 			p.wire.Close()
 		}
--- a/internal/virtual/host.go
+++ b/internal/virtual/host.go
@@ -237,8 +237,8 @@
 // Unsent is part of transport.Wire.
 func (c *hostConn) Unsent() int { return c.e.Unsent() }
 
-// Shut is part of transport.Wire.
-func (c *hostConn) Shut() {
+// CloseWrite is part of transport.Wire.
+func (c *hostConn) CloseWrite() {
 	if !c.h.Ended && c.e.Unsent() == 0 {
 		c.e.CloseWrite()
 	}
@@ -313,8 +313,8 @@
 // Rand is part of transport.Driver.
 func (h *Host) Rand() uint64 { return h.rng.Uint64() }
 
-// Unlisten is part of transport.Driver. Who waits is a task ahead of done.
-func (h *Host) Unlisten(listener int, done func()) {
+// CloseListener is part of transport.Driver. Who waits is a task ahead of done.
+func (h *Host) CloseListener(listener int, done func()) {
 	if l := h.listens[listener]; l != nil {
 		l.Close()
 	}
