Say when the notice to leave is heard, and make two tests of signals wait for what they force

TestDeployedServer (told to leave while it starts) wrote the configuration while SIGTERM was still on its way inside the program: the program now logs the notice as it is heard, for operators too, and the test waits for that line. TestOwnerStalledInItsRun let the pool go while SIGSTOP was on its way: Stall now returns once every thread of the process stands still, in all tests that stop one.

--- a/cmd/pewterline/build_test.go
+++ b/cmd/pewterline/build_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bufio"
 	"bytes"
 	"debug/elf"
 	"encoding/json"
@@ -123,21 +124,27 @@
 	cmd := exec.Command(program)
 	cmd.Dir = "../.."
 	cmd.Env = append(os.Environ(), "RELAY_CONFIG="+pipe, "RELAY_LISTEN=127.0.0.1:0", "RELAY_AJP=", "RELAY_STORE=", "RELAY_FLEET=")
-	var log bytes.Buffer
-	cmd.Stderr = &log
+	stderr, err := cmd.StderrPipe()
+	require.NoError(t, err)
 	require.NoError(t, cmd.Start())
 	defer func() { _ = cmd.Process.Kill() }()
 	w, err := os.OpenFile(pipe, os.O_WRONLY, 0) // returns once the program has opened it
 	require.NoError(t, err)
 	require.NoError(t, cmd.Process.Signal(syscall.SIGTERM))
+	lines := bufio.NewReader(stderr)
+	heard, err := lines.ReadString('\n') // it has the notice
+	require.NoError(t, err)
+	require.Contains(t, heard, "told to leave")
 	text, err := os.ReadFile(config)
 	require.NoError(t, err)
 	_, err = w.Write(text)
 	require.NoError(t, err)
 	require.NoError(t, w.Close())
-	require.NoError(t, cmd.Wait(), log.String())
-	require.Contains(t, log.String(), "told to leave before it serves")
-	require.NotContains(t, log.String(), "serves on")
+	log, err := io.ReadAll(lines)
+	require.NoError(t, err)
+	require.NoError(t, cmd.Wait(), string(log))
+	require.Contains(t, string(log), "told to leave before it serves")
+	require.NotContains(t, string(log), "serves on")
 }
 
 // openSockets are those that a process holds.
--- a/cmd/pewterline/signals.go
+++ b/cmd/pewterline/signals.go
@@ -27,6 +27,7 @@
 				if sig != syscall.SIGHUP {
 					select {
 					case l <- clock.Now():
+						log.Printf("%v: told to leave", sig)
 					default: // it has been told
 					}
 					continue
--- a/cmd/pewterline/upgrade_test.go
+++ b/cmd/pewterline/upgrade_test.go
@@ -288,7 +288,7 @@
 	w := newTwin(t)
 	old := w.start()
 	next := w.start()
-	require.NoError(t, next.Signal(syscall.SIGSTOP))
+	require.NoError(t, next.Stall())
 	c := w.dial()
 	long := strings.Repeat("x", 1900)
 	for i := 0; !strings.Contains(old.Log(), "the successor is gone"); i++ {
@@ -580,7 +580,7 @@
 	w := newTwin(t)
 	old := w.start()
 	w.served(w.ask(w.dial(), "lot-intake", "k1", "one"), "one")
-	require.NoError(t, old.Signal(syscall.SIGSTOP))
+	require.NoError(t, old.Stall())
 	next, err := w.Start(nil)
 	require.NoError(t, err)
 	require.Error(t, next.Wait())
--- a/internal/procs/group.go
+++ b/internal/procs/group.go
@@ -199,7 +199,7 @@
 }
 
 // Stall stops a server's process; Wake has it go on.
-func (g *Group) Stall(id int) error { return g.Servers[id-1].Process.Signal(syscall.SIGSTOP) }
+func (g *Group) Stall(id int) error { return g.Servers[id-1].Process.Stall() }
 
 // Wake has a stalled process go on.
 func (g *Group) Wake(id int) error { return g.Servers[id-1].Process.Signal(syscall.SIGCONT) }
--- a/internal/procs/procs.go
+++ b/internal/procs/procs.go
@@ -14,6 +14,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -154,6 +155,30 @@
 // Signal sends a signal to the process.
 func (p *Process) Signal(s syscall.Signal) error { return p.cmd.Process.Signal(s) }
 
+// Stall stops the process and returns once each of its threads stands still: the signal alone is on its way, and what comes next
+// might still be read.
+func (p *Process) Stall() error {
+	if err := p.Signal(syscall.SIGSTOP); err != nil {
+		return err
+	}
+	for until := time.Now().Add(Patience); time.Now().Before(until); runtime.Gosched() {
+		stats, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", p.PID()))
+		if err != nil {
+			return err
+		}
+		still := len(stats) > 0
+		for _, path := range stats {
+			text, _ := os.ReadFile(path) // a thread may have ended
+			_, state, _ := strings.Cut(string(text), ") ")
+			still = still && strings.HasPrefix(state, "T")
+		}
+		if still {
+			return nil
+		}
+	}
+	return errors.New("procs: the process does not stand still")
+}
+
 // Wait waits for the process's end and returns how it exited.
 func (p *Process) Wait() error {
 	select {
