--- a/internal/protocol/pool/command.go
+++ b/internal/protocol/pool/command.go
@@ -15,16 +15,18 @@
 	Spawn
 	Suspend
 	Poll
+	Supply
+	Verify
 )
 
 // Command is one command of a log server, as the worker pool reads it. Body shares the input's memory.
 type Command struct {
 	Order  Order
 	Notice uint64 // Bind
-	ID     string // Spawn, Suspend
+	ID     string // Spawn, Suspend, Supply
 	Class  string // Spawn
-	Body   []byte // Spawn
-	Tag    string // Poll
+	Body   []byte // Spawn; Supply: the reply to a call
+	Tag    string // Poll, Verify
 }
 
 // ParseCommand takes the first command off in. n is 0 while it is not whole.
@@ -51,19 +53,24 @@
 		if err != nil || size > maxResult {
 			return Command{}, 0, broken(line, "no length")
 		}
-		if len(in) < n+int(size)+2 {
-			return Command{}, 0, nil
+		if c.Body, n, err = splitBody(in, n, int(size)); n == 0 {
+			return Command{}, 0, err
 		}
-		c.Body = in[n : n+int(size)]
-		n += int(size)
-		if in[n] != '\r' || in[n+1] != '\n' {
-			return Command{}, 0, broken(line, "body without its end")
+	case word == "supply" && len(words) == 3:
+		c.Order, c.ID = Supply, string(words[1])
+		size, err := strconv.ParseUint(string(words[2]), 10, 31)
+		if err != nil || size > maxCall {
+			return Command{}, 0, broken(line, "no length")
+		}
+		if c.Body, n, err = splitBody(in, n, int(size)); n == 0 {
+			return Command{}, 0, err
 		}
-		n += 2
 	case word == "suspend" && len(words) == 2:
 		c.Order, c.ID = Suspend, string(words[1])
 	case word == "poll" && len(words) == 2:
 		c.Order, c.Tag = Poll, string(words[1])
+	case word == "verify" && len(words) == 2:
+		c.Order, c.Tag = Verify, string(words[1])
 	default:
 		return Command{}, 0, broken(line, "unknown command")
 	}
@@ -77,3 +84,14 @@
 	out = fmt.Appendf(out, "finished %d %s %s %d %d\r\n", notice, id, endWords[end], ms, len(result))
 	return append(append(out, result...), '\r', '\n')
 }
+
+// AppendBlocked writes the notice that a run waits for a call with this body.
+func AppendBlocked(out []byte, notice uint64, id string, call []byte) []byte {
+	out = fmt.Appendf(out, "blocked %d %s %d\r\n", notice, id, len(call))
+	return append(append(out, call...), '\r', '\n')
+}
+
+// AppendVerified writes the answer to a deep health check.
+func AppendVerified(out []byte, tag string, end End) []byte {
+	return fmt.Appendf(out, "verified %s %s\r\n", tag, endWords[end])
+}
--- a/internal/protocol/pool/pool.go
+++ b/internal/protocol/pool/pool.go
@@ -11,6 +11,8 @@
 const (
 	maxLine   = 1 << 10
 	maxResult = 4 << 10 // the protocol's; guards against a broken length, which has all that follows wait for its end
+	// maxCall bounds the body of a call and of the reply to it. The protocol states none; the vault's parser has the same.
+	maxCall = 64 << 10
 )
 
 // ErrLine is wrapped by every error of Parse: the link's stream can no longer be trusted.
@@ -26,6 +28,8 @@
 	Polled
 	Unknown
 	Chatter
+	Blocked
+	Verified
 )
 
 // End says how a run ended.
@@ -47,11 +51,12 @@
 	Kind    Kind
 	Loaded  bool      // Bound: LOADED rather than EMPTY
 	MS      float64   // Bound: age of the pool; Finished: length of the run
-	Notice  uint64    // Finished, Chatter
-	ID      string    // Finished, Unknown
-	End     End       // Finished
+	Notice  uint64    // Finished, Chatter, Blocked
+	ID      string    // Finished, Unknown, Blocked
+	End     End       // Finished; Verified: Pass or Fail
 	Result  []byte    // Finished
-	Tag     string    // Polled
+	Call    []byte    // Blocked: the body of the call that the run waits for
+	Tag     string    // Polled, Verified
 	Gauges  []float64 // Polled
 	Command string    // Unknown
 }
@@ -103,15 +108,25 @@
 		if m.End == 0 || size > maxResult {
 			return m, 0, broken(line, "unknown end or length")
 		}
-		if len(in) < n+int(size)+2 {
-			return Message{}, 0, err
+		var bodyErr error
+		if m.Result, n, bodyErr = splitBody(in, n, int(size)); n == 0 {
+			return Message{}, 0, errors.Join(err, bodyErr)
 		}
-		m.Result = in[n : n+int(size)]
-		n += int(size)
-		if in[n] != '\r' || in[n+1] != '\n' {
-			return m, 0, broken(line, "result without its end")
+	case word == "blocked" && len(words) == 4:
+		m.Kind, m.Notice, m.ID = Blocked, whole(1), string(words[2])
+		size := whole(3)
+		if size > maxCall {
+			return m, 0, broken(line, "length")
+		}
+		var bodyErr error
+		if m.Call, n, bodyErr = splitBody(in, n, int(size)); n == 0 {
+			return Message{}, 0, errors.Join(err, bodyErr)
+		}
+	case word == "verified" && len(words) == 3:
+		m.Kind, m.Tag, m.End = Verified, string(words[1]), ends[string(words[2])]
+		if m.End != Pass && m.End != Fail {
+			return m, 0, broken(line, "unknown end")
 		}
-		n += 2
 	case word == "polled" && len(words) >= 2:
 		m.Kind, m.Tag = Polled, string(words[1])
 		for i := range words[2:] {
@@ -136,6 +151,18 @@
 	return m, n, nil
 }
 
+// splitBody takes a body of size bytes that begins at from, and its line end. n is where it ends; 0 while it is not whole.
+func splitBody(in []byte, from, size int) (body []byte, n int, err error) {
+	end := from + size
+	if len(in) < end+2 {
+		return nil, 0, nil
+	}
+	if in[end] != '\r' || in[end+1] != '\n' {
+		return nil, 0, broken(in, "body without its end")
+	}
+	return in[from:end], end + 2, nil
+}
+
 // AppendBind opens a link; notice is the last one that was read.
 func AppendBind(out []byte, notice uint64) []byte {
 	return fmt.Appendf(out, "bind %d\r\n", notice)
@@ -152,3 +179,12 @@
 
 // AppendPoll asks for the gauges.
 func AppendPoll(out []byte, tag string) []byte { return fmt.Appendf(out, "poll %s\r\n", tag) }
+
+// AppendSupply hands a run the reply to the call that it waits for.
+func AppendSupply(out []byte, id string, reply []byte) []byte {
+	out = fmt.Appendf(out, "supply %s %d\r\n", id, len(reply))
+	return append(append(out, reply...), '\r', '\n')
+}
+
+// AppendVerify asks for the work of a deep health check.
+func AppendVerify(out []byte, tag string) []byte { return fmt.Appendf(out, "verify %s\r\n", tag) }
