Test the codecs of calls and deep checks, and refuse numbers that are not finite

Two faults came out in internal/protocol/pool: Parse returned a half-filled message beside some errors, and it took NaN and infinities for numbers, which would have stayed in the decision module's means. A span of time that is not finite is a broken line now; a gauge that is not finite is told as -1, which the module takes for not known, so that it costs no link.

--- a/internal/protocol/pool/pool.go
+++ b/internal/protocol/pool/pool.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"math"
 	"strconv"
 )
 
@@ -13,6 +14,8 @@
 	maxResult = 4 << 10 // the protocol's; guards against a broken length, which has all that follows wait for its end
 	// maxCall bounds the body of a call and of the reply to it. The protocol states none; the vault's parser has the same.
 	maxCall = 64 << 10
+	// unknownGauge stands for a gauge that is told as no finite number. The decision module takes negative ones for not known.
+	unknownGauge = -1
 )
 
 // ErrLine is wrapped by every error of Parse: the link's stream can no longer be trusted.
@@ -57,10 +60,13 @@
 	Result  []byte    // Finished
 	Call    []byte    // Blocked: the body of the call that the run waits for
 	Tag     string    // Polled, Verified
-	Gauges  []float64 // Polled
+	Gauges  []float64 // Polled; -1 where the pool told no finite number
 	Command string    // Unknown
 }
 
+// isFinite guards the means that a number is counted into: one that is not finite would stay in them for good.
+func isFinite(v float64) bool { return !math.IsNaN(v) && !math.IsInf(v, 0) }
+
 func broken(line []byte, why string) error {
 	return fmt.Errorf("%w: %s in %q", ErrLine, why, line[:min(len(line), 80)])
 }
@@ -70,9 +76,9 @@
 	end := bytes.Index(in[:min(len(in), maxLine)], []byte("\r\n"))
 	if end < 0 {
 		if len(in) >= maxLine {
-			return m, 0, broken(in, "no end")
+			return Message{}, 0, broken(in, "no end")
 		}
-		return m, 0, nil
+		return Message{}, 0, nil
 	}
 	line := in[:end]
 	n = end + 2
@@ -84,6 +90,13 @@
 		}
 		return v
 	}
+	span := func(i int) float64 {
+		v := number(i)
+		if !isFinite(v) && err == nil {
+			err = broken(line, "no span of time")
+		}
+		return v
+	}
 	whole := func(i int) uint64 {
 		v, e := strconv.ParseUint(string(words[i]), 10, 63)
 		if e != nil && err == nil {
@@ -93,20 +106,20 @@
 	}
 	switch word := string(words[0]); {
 	case word == "bound" && len(words) == 3:
-		m.Kind, m.MS = Bound, number(2)
+		m.Kind, m.MS = Bound, span(2)
 		switch string(words[1]) {
 		case "LOADED":
 			m.Loaded = true
 		case "EMPTY":
 		default:
-			return m, 0, broken(line, "unknown state")
+			return Message{}, 0, broken(line, "unknown state")
 		}
 	case word == "finished" && len(words) == 6:
-		m.Kind, m.Notice, m.ID, m.MS = Finished, whole(1), string(words[2]), number(4)
+		m.Kind, m.Notice, m.ID, m.MS = Finished, whole(1), string(words[2]), span(4)
 		m.End = ends[string(words[3])]
 		size := whole(5)
 		if m.End == 0 || size > maxResult {
-			return m, 0, broken(line, "unknown end or length")
+			return Message{}, 0, broken(line, "unknown end or length")
 		}
 		var bodyErr error
 		if m.Result, n, bodyErr = splitBody(in, n, int(size)); n == 0 {
@@ -116,7 +129,7 @@
 		m.Kind, m.Notice, m.ID = Blocked, whole(1), string(words[2])
 		size := whole(3)
 		if size > maxCall {
-			return m, 0, broken(line, "length")
+			return Message{}, 0, broken(line, "length")
 		}
 		var bodyErr error
 		if m.Call, n, bodyErr = splitBody(in, n, int(size)); n == 0 {
@@ -125,12 +138,16 @@
 	case word == "verified" && len(words) == 3:
 		m.Kind, m.Tag, m.End = Verified, string(words[1]), ends[string(words[2])]
 		if m.End != Pass && m.End != Fail {
-			return m, 0, broken(line, "unknown end")
+			return Message{}, 0, broken(line, "unknown end")
 		}
 	case word == "polled" && len(words) >= 2:
 		m.Kind, m.Tag = Polled, string(words[1])
 		for i := range words[2:] {
-			m.Gauges = append(m.Gauges, number(i+2))
+			gauge := number(i + 2)
+			if !isFinite(gauge) {
+				gauge = unknownGauge
+			}
+			m.Gauges = append(m.Gauges, gauge)
 		}
 	case word == "unknown" && len(words) >= 2:
 		m.Kind, m.Command = Unknown, string(words[1])
@@ -143,7 +160,7 @@
 			m.Notice, _ = strconv.ParseUint(string(words[1]), 10, 63)
 		}
 	default:
-		return m, 0, broken(line, "unknown message")
+		return Message{}, 0, broken(line, "unknown message")
 	}
 	if err != nil {
 		return Message{}, 0, err
--- a/internal/protocol/pool/pool_test.go
+++ b/internal/protocol/pool/pool_test.go
@@ -12,6 +12,9 @@
 	f.Add([]byte("finished 1 00ff PASS 12.5 3\r\nabc\r\n"))
 	f.Add([]byte("bound EMPTY 12\r\npolled g 0.5 1 0 2\r\n"))
 	f.Add([]byte("unknown spawn\r\nchatter 3 hello there\r\n"))
+	f.Add([]byte("blocked 4 00ff 3\r\nabc\r\nverified v PASS\r\n"))
+	f.Add([]byte("blocked 4 00ff 65537\r\n"))
+	f.Add([]byte("polled g NaN -Inf 0x1p-2\r\nverified v NOOP\r\n"))
 	f.Fuzz(func(t *testing.T, in []byte) {
 		m, n, err := Parse(in)
 		require.LessOrEqual(t, n, len(in))
@@ -60,3 +63,73 @@
 	require.Equal(t, Message{Kind: Finished, Notice: 3, ID: "a1", End: Killed, MS: 20, Result: []byte("x")}, m)
 	require.Positive(t, n)
 }
+
+// What the worker pool tells of calls and deep checks, a log server reads back, in pieces, and the other way round: bodies
+// that look like lines, empty ones and the longest.
+func TestCallsAndChecksReadBack(t *testing.T) {
+	lines, longest := []byte("supply a1 3\r\n"), bytes.Repeat([]byte("\r\n"), maxCall/2)
+	text := AppendBlocked(AppendVerified(AppendBlocked(AppendBlocked(nil, 1, "a1", lines), 2, "a2", nil), "v", Pass), 3, "a3", longest)
+	text = AppendVerified(text, "v", Fail)
+	require.Equal(t, []Message{{Kind: Blocked, Notice: 1, ID: "a1", Call: lines}, {Kind: Blocked, Notice: 2, ID: "a2", Call: []byte{}},
+		{Kind: Verified, Tag: "v", End: Pass}, {Kind: Blocked, Notice: 3, ID: "a3", Call: longest}, {Kind: Verified, Tag: "v", End: Fail}},
+		readInPieces(t, text, Parse))
+	text = AppendSupply(AppendVerify(AppendSupply(AppendSupply(nil, "a1", lines), "a2", nil), "v"), "a3", longest)
+	require.Equal(t, []Command{{Order: Supply, ID: "a1", Body: lines}, {Order: Supply, ID: "a2", Body: []byte{}},
+		{Order: Verify, Tag: "v"}, {Order: Supply, ID: "a3", Body: longest}}, readInPieces(t, text, ParseCommand))
+	require.Equal(t, "supply a1 3\r\nabc\r\nverify v\r\n", string(AppendVerify(AppendSupply(nil, "a1", []byte("abc")), "v")))
+	require.Equal(t, "blocked 7 a1 3\r\nabc\r\nverified v FAIL\r\n", string(AppendVerified(AppendBlocked(nil, 7, "a1", []byte("abc")), "v", Fail)))
+}
+
+// readInPieces hands a parser the stream in pieces of a few bytes, and collects what it takes off.
+func readInPieces[T any](t *testing.T, stream []byte, parse func([]byte) (T, int, error)) (got []T) {
+	const piece = 7
+	from := 0
+	for to := 0; to < len(stream)+piece; to += piece {
+		for n := -1; n != 0; from += n {
+			var one T
+			var err error
+			one, n, err = parse(stream[from:min(to, len(stream))])
+			require.NoError(t, err)
+			if n > 0 {
+				got = append(got, one)
+			}
+		}
+	}
+	require.Equal(t, len(stream), from)
+	return got
+}
+
+// Broken lines of calls and deep checks are errors at the point where that is certain.
+func TestBoundsOfCallsAndChecks(t *testing.T) {
+	for _, bad := range []string{"blocked 1 a\r\n", "blocked x a 1\r\nb\r\n", "blocked x a 9\r\n", "blocked -1 a 0\r\n\r\n", "blocked 1 a -1\r\n",
+		"blocked 1 a 65537\r\n", "blocked 1 a 1\r\nbcd", "blocked 1 a 0\r\n\n\r", "blocked 1 a 1 1\r\nb\r\n", "verified v\r\n", "verified v KILLED\r\n",
+		"verified v NOOP\r\n", "verified v pass\r\n", "verified v PASS 1\r\n"} {
+		m, n, err := Parse([]byte(bad))
+		require.ErrorIs(t, err, ErrLine, bad)
+		require.Zero(t, n, bad)
+		require.Zero(t, m, bad)
+	}
+	for _, bad := range []string{"supply a\r\n", "supply a x\r\n", "supply a 65537\r\n", "supply a 1\r\nbcd", "supply a 1 1\r\n", "verify\r\n", "verify v w\r\n"} {
+		c, n, err := ParseCommand([]byte(bad))
+		require.ErrorIs(t, err, ErrLine, bad)
+		require.Zero(t, n, bad)
+		require.Zero(t, c, bad)
+	}
+	for _, short := range []string{"blocked 1 a 65536\r\nb", "blocked 1 a 1\r\nb\r", "verified v PASS\r"} {
+		_, n, err := Parse([]byte(short))
+		require.NoError(t, err)
+		require.Zero(t, n)
+	}
+}
+
+// A number that is not finite would spread through every mean that it is counted into. A gauge without one is not known;
+// that is no reason to give the link up.
+func TestNumbersAreFinite(t *testing.T) {
+	for _, bad := range []string{"bound EMPTY NaN\r\n", "bound EMPTY Inf\r\n", "finished 1 a PASS nan 0\r\n\r\n", "finished 1 a PASS -inf 0\r\n\r\n", "polled g 1e999\r\n"} {
+		_, _, err := Parse([]byte(bad))
+		require.ErrorIs(t, err, ErrLine, bad)
+	}
+	m, _, err := Parse([]byte("polled g 0.5 NaN -Inf 2\r\n"))
+	require.NoError(t, err)
+	require.Equal(t, []float64{0.5, unknownGauge, unknownGauge, 2}, m.Gauges)
+}
