Carry out calls below on the one loop, and have deep checks verified by the pool

The worker pool's runner moves out of internal/edge into internal/workerpool (runner, link, resync, checks); internal/vaultlink is the client of the vault on the same loop. The core has two states more, blocked and calling; a call is given up as soon as its request is answered or its run ends; one that may have had its effect is not made again for a request that may run once. Deep probes go to the pool, one verification at a time, shared for a second. The cost hint reaches the module, by both fronts and from an edge. check and the start name vault or settings.extra.downstream where they cannot be served.

--- a/cmd/pewterline/main.go
+++ b/cmd/pewterline/main.go
@@ -10,6 +10,7 @@
 	"runtime/debug"
 	"syscall"
 
+	"pewterline/control"
 	"pewterline/internal/config"
 	"pewterline/internal/edge"
 	"pewterline/internal/holdings"
@@ -18,6 +19,7 @@
 	"pewterline/internal/store"
 	"pewterline/internal/transport"
 	"pewterline/internal/transport/sockets"
+	"pewterline/internal/vaultlink"
 )
 
 // spareSockets are the descriptors left beside the accepted connections: the listeners, the poller, the pool
@@ -102,6 +104,9 @@
 	if cfg.AJP.Runner != "" {
 		opts.MaxConns -= cfg.AJP.Connections
 	}
+	if cfg.Settings.Below != control.BelowNone {
+		opts.MaxConns -= vaultlink.MaxConns
+	}
 	// Before this process listens for proxies: the next one finds it from then on.
 	if wait := meetingPoint(os.TempDir(), cfg, logf); wait != nil {
 		defer func() { _ = wait.Close() }() // the path goes with it
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -28,6 +28,7 @@
 	Name     string
 	Listen   string
 	Pool     string // empty only where AJP.Runner is set
+	Vault    string // where runs call; may be empty where they call nothing
 	Control  string // empty: no reports
 	Admin    string // where operators call; empty: nowhere
 	Stop     micro.Time
@@ -127,6 +128,7 @@
 	Name    string          `json:"name"`
 	Listen  string          `json:"listen"`
 	Pool    string          `json:"pool"`
+	Vault   string          `json:"vault"`
 	Control string          `json:"control"`
 	Admin   string          `json:"admin"`
 	Seed    string          `json:"seed"`
@@ -241,7 +243,7 @@
 		return Config{}, fmt.Errorf("config: RELAY_CONFIG: %w", err)
 	}
 	c := Config{
-		Raw: raw, Name: orString(getenv("RELAY_NAME"), f.Name), Listen: orString(getenv("RELAY_LISTEN"), f.Listen), Pool: f.Pool, Control: f.Control,
+		Raw: raw, Name: orString(getenv("RELAY_NAME"), f.Name), Listen: orString(getenv("RELAY_LISTEN"), f.Listen), Pool: f.Pool, Vault: f.Vault, Control: f.Control,
 		Admin: orString(getenv("RELAY_ADMIN"), f.Admin),
 		Stop:  defaultStopMS * micro.Millisecond, Memory: defaultMemoryMB << 20, Sockets: defaultSockets,
 	}
@@ -275,6 +277,11 @@
 			return c, err
 		}
 	}
+	if c.Vault != "" {
+		if err := address("vault", c.Vault); err != nil {
+			return c, err
+		}
+	}
 	if c.Control != "" {
 		if err := address("control", c.Control); err != nil {
 			return c, err
@@ -318,9 +325,28 @@
 	if c.Settings.Cores <= 0 {
 		return c, fmt.Errorf("config: settings.extra.cores: %d is not over 0", c.Settings.Cores)
 	}
+	if err := c.checkCalls(); err != nil {
+		return c, err
+	}
 	return c, checkClasses(c.Settings)
 }
 
+// checkCalls names what keeps the runs from making the calls that the settings tell of.
+func (c Config) checkCalls() error {
+	const key = "config: settings.extra.downstream"
+	switch {
+	case c.Settings.Below == control.BelowNone:
+		return nil
+	case c.AJP.Runner != "":
+		return fmt.Errorf("%s: calls need the worker pool to do the work, and ajp.toml: runner.address names a server in its place", key)
+	case len(c.Fleet.Members) > 0:
+		return fmt.Errorf("%s: calls need the worker pool to do the work, and fleet.toml: server names others in its place", key)
+	case c.Vault == "":
+		return errors.New("config: vault: missing; settings.extra.downstream says that runs call it")
+	}
+	return nil
+}
+
 type ajpFile struct {
 	Front struct {
 		Listen    string `toml:"listen"`
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -17,6 +17,8 @@
 	"pewterline/internal/protocol/lease"
 	"pewterline/internal/routing"
 	"pewterline/internal/transport"
+	"pewterline/internal/vaultlink"
+	"pewterline/internal/workerpool"
 )
 
 const (
@@ -62,7 +64,8 @@
 	tenants  map[string]int
 	settings control.Settings   // as the file has them; cfg's have the places that classes got over time
 	late     map[int]micro.Time // classes that are gone are taken until then, by place
-	pool     *poolLink
+	pool     *workerpool.Runner
+	vault    *vaultlink.Client // where runs call
 	backends *ajpRunner
 	servers  *fleetRunner
 	held     *holdings.Holdings // copies, with a group of servers; nil: none
@@ -102,13 +105,17 @@
 		s.backends = newAJPRunner(s)
 		runner = s.backends
 	} else {
-		s.pool = newPoolLink(s)
+		s.pool = workerpool.New(workerpool.Config{Address: cfg.Pool, Gauges: cfg.Gauges}, logf)
+		s.vault = vaultlink.New(cfg.Vault, logf)
 		runner = s.pool
 	}
 	var err error
 	if s.core, err = routing.New(cfg.Settings, runner, logf); err != nil {
 		return nil, fmt.Errorf("edge: %w", err)
 	}
+	if s.vault != nil {
+		s.core.UseCallee(s.vault)
+	}
 	return s, nil
 }
 
@@ -123,7 +130,8 @@
 			l, s.servers.fleet, s.logf)
 	}
 	if s.pool != nil {
-		s.pool.dial()
+		s.vault.Attach(l, s.core.CallEnded)
+		s.pool.Attach(s.core, l)
 	} else {
 		s.core.Begin(l.Now(), 0, false)
 	}
@@ -165,9 +173,10 @@
 	if s.held != nil {
 		s.held.Window(s.Window())
 	}
-	if s.pool != nil && next.Pool != s.cfg.Pool {
-		s.cfg.Pool = next.Pool
-		s.pool.dial()
+	if s.pool != nil {
+		s.cfg.Pool, s.cfg.Vault = next.Pool, next.Vault
+		s.pool.Move(next.Pool)
+		s.vault.Move(next.Vault)
 	}
 	if s.servers != nil && len(next.Fleet.Members) > 0 && !slices.Equal(next.Fleet.Members, s.cfg.Fleet.Members) {
 		s.cfg.Fleet.Members = next.Fleet.Members
@@ -187,7 +196,7 @@
 			s.logf("edge: configuration read anew: %s holds until a restart", k.key)
 		}
 	}
-	s.logf("edge: configuration read anew: pool %s, control %s, classes %s", s.cfg.Pool, s.cfg.Control, strings.Join(s.inUse(), " "))
+	s.logf("edge: configuration read anew: pool %s, vault %q, control %s, classes %s", s.cfg.Pool, s.cfg.Vault, s.cfg.Control, strings.Join(s.inUse(), " "))
 	return nil
 }
 
@@ -214,6 +223,9 @@
 	if s.loop == nil {
 		return micro.Never
 	}
+	if s.vault != nil {
+		s.vault.Check(now)
+	}
 	s.core.Step(now)
 	if !s.handed && (now >= s.nextReport || s.healthy() != s.reported) { // then the successor reports
 		s.report(now)
@@ -238,8 +250,8 @@
 	for _, a := range s.offices.items {
 		next = min(next, a.check(now))
 	}
-	if s.pool != nil && len(s.pool.doubts) > 0 {
-		next = min(next, s.pool.check(now))
+	if s.pool != nil {
+		next = min(next, s.pool.Check(now), s.vault.NextDue())
 	}
 	if s.servers != nil {
 		next = min(next, s.servers.check(now))
@@ -266,7 +278,7 @@
 func (s *Server) closeIdle(now micro.Time) {
 	after := s.core.IdleAfter()
 	for _, t := range s.fronts.items {
-		if len(t.open) > 0 {
+		if !t.Idle() {
 			continue
 		}
 		if idle := now - t.last; t.bidden && idle > lingerMost {
--- a/internal/edge/end_test.go
+++ b/internal/edge/end_test.go
@@ -317,8 +317,8 @@
 	h.pool.mu.Unlock()
 	for lost := false; !lost; {
 		h.do(func() {
-			if lost = h.srv.pool.next == nil; lost {
-				require.Nil(t, h.srv.pool.drop, "a link is dialled though one waits to be bound")
+			if lost = !h.srv.pool.Status().Moving; lost {
+				require.False(t, h.srv.pool.Status().Dialling, "a link is dialled though one waits to be bound")
 			}
 		})
 	}
--- a/internal/edge/fleetrunner.go
+++ b/internal/edge/fleetrunner.go
@@ -484,6 +484,9 @@
 	if req.Once != "" {
 		fields = append(fields, thrift.Field{Name: "once", Value: req.Once})
 	}
+	if req.Hint > 0 {
+		fields = append(fields, thrift.Field{Name: "cost", Value: strconv.FormatFloat(float64(req.Hint)/float64(micro.Millisecond), 'f', 3, 64)})
+	}
 	if req.Key != 0 {
 		fields = append(fields, thrift.Field{Name: "key", Value: strconv.FormatUint(req.Key, 16)})
 	}
--- a/internal/edge/link_test.go
+++ b/internal/edge/link_test.go
@@ -140,10 +140,10 @@
 	require.NotContains(t, l.ask("00000000000000a2", "lot-intake", "k1"), "spawn")
 	l.advance(l.now + 5*micro.Second)
 	require.Equal(t, map[int32]thrift.ReplyKind{1: thrift.Broken}, l.replies())
-	require.Len(t, l.srv.pool.runs, 1)
+	require.Equal(t, 1, l.srv.pool.Status().Runs)
 	l.advance(l.now + 10*micro.Second) // past the window
-	require.Empty(t, l.srv.pool.runs)
-	require.Empty(t, l.srv.pool.doubts)
+	require.Zero(t, l.srv.pool.Status().Runs)
+	require.Zero(t, l.srv.pool.Status().Uncertain)
 	require.True(t, strings.Contains(strings.Join(l.logged, "\n"), "whether it ran is not known"))
 	l.caller, l.seq = l.stage.connect("c3", 0), 0
 	require.Contains(t, l.ask("00000000000000a3", "lot-intake", "k1"), "spawn 00000000000000a3")
@@ -183,7 +183,7 @@
 		require.NotContains(t, string(l.caller.out), "bad", name)
 		require.NotContains(t, string(l.caller.out), "else", name)
 		require.Equal(t, map[int32]thrift.ReplyKind{1: thrift.Answered, 2: thrift.Answered}, l.replies(), name)
-		require.Empty(t, l.srv.pool.runs, name)
+		require.Zero(t, l.srv.pool.Status().Runs, name)
 		require.NotNil(t, l.pool.session, name)
 	}
 }
--- a/internal/edge/overload_test.go
+++ b/internal/edge/overload_test.go
@@ -18,7 +18,6 @@
 
 	"pewterline/internal/micro"
 	"pewterline/internal/protocol/ajp"
-	"pewterline/internal/protocol/pool"
 	"pewterline/internal/protocol/thrift"
 	"pewterline/internal/transport"
 	"pewterline/internal/transport/sockets"
@@ -85,7 +84,7 @@
 	t.Cleanup(func() { c.pool.Close() })
 	c.poolIn = bufio.NewReader(c.pool)
 	c.command() // bind
-	c.await(func() bool { return c.srv.pool.synced || c.poolMark() })
+	c.await(func() bool { return c.srv.pool.Status().Bound || c.poolMark() })
 	c.desk = dial(t, c.loop.Addr(0).String(), thrift.Split)
 	go c.readDesk()
 	return c
@@ -110,7 +109,7 @@
 
 // poolMark answers the poll that follows bound; it is always false, so that await looks again.
 func (c *crowd) poolMark() bool {
-	if c.srv.pool.links == 1 && c.marks == 0 {
+	if c.srv.pool.Status().Links == 1 && c.marks == 0 {
 		c.marks = 1
 		_, err := c.pool.Write([]byte("polled sync1 0 0 0 0\r\n"))
 		require.NoError(c.t, err)
@@ -153,7 +152,7 @@
 func (c *crowd) work() {
 	c.marks++
 	mark := fmt.Sprintf("mark%d", c.marks)
-	c.onLoop(func() { c.srv.pool.write(pool.AppendPoll(nil, mark)) })
+	c.onLoop(func() { c.srv.pool.PollAs(mark) })
 	for c.command() != mark {
 	}
 	for _, id := range slices.Sorted(maps.Keys(c.ends)) {
@@ -172,7 +171,7 @@
 	_, err := c.pool.Write(c.out) // at once, so that they are read in one turn
 	require.NoError(c.t, err)
 	c.out = c.out[:0]
-	c.await(func() bool { return c.srv.pool.notice == c.notices })
+	c.await(func() bool { return c.srv.pool.Status().Notice == c.notices })
 }
 
 func (c *crowd) readDesk() {
--- a/internal/edge/retune.go
+++ b/internal/edge/retune.go
@@ -60,6 +60,7 @@
 		return err
 	}
 	s.settings, s.cfg.Settings, s.cfg.Gauges = set, placed, next.Gauges
+	s.pool.SetGauges(next.Gauges)
 	for i, c := range placed.Classes {
 		switch {
 		case !c.Retired:
--- a/internal/edge/thrift.go
+++ b/internal/edge/thrift.go
@@ -29,6 +29,7 @@
 	s      *Server
 	conn   transport.Link
 	open   map[int32]control.ID // by sequence number
+	checks int                  // deep health checks that wait for their answer
 	seq    int32                // the highest so far
 	faults int                  // messages that made no sense since the last that did
 	last   micro.Time           // of the last request or answer
@@ -95,7 +96,7 @@
 )
 
 // Idle is part of transport.Session.
-func (t *thriftSession) Idle() bool { return len(t.open) == 0 }
+func (t *thriftSession) Idle() bool { return len(t.open) == 0 && t.checks == 0 }
 
 // Closed is part of transport.Session: whoever waits on this connection has left.
 func (t *thriftSession) Closed() {
@@ -147,13 +148,33 @@
 		}
 	case thrift.Probe:
 		t.valid()
-		t.write(thrift.AppendAnswer(t.out[:0], m.Name, m.Seq, nil, t.s.sayField(nil), t.s.healthy()))
+		t.probe(m)
 	default:
 		t.except(m, thrift.UnknownMethod, errUnasked)
 	}
 	return nil
 }
 
+// probe answers a health check. A deep one waits for the runner's word, within a second.
+func (t *thriftSession) probe(m thrift.Message) {
+	answer := func(good bool) {
+		t.write(thrift.AppendAnswer(t.out[:0], m.Name, m.Seq, nil, t.s.sayField(nil), good))
+	}
+	if !m.Deep || !t.s.healthy() || t.s.pool == nil {
+		answer(t.s.healthy())
+		return
+	}
+	t.checks++
+	t.s.pool.Verify(func(good bool) {
+		t.checks--
+		if t.closed {
+			return
+		}
+		t.last = t.s.loop.Now()
+		answer(good && t.s.healthy())
+	})
+}
+
 func (t *thriftSession) valid() {
 	t.faults = 0
 	t.conn.Vouch()
@@ -225,6 +246,11 @@
 	if r.HeldKB, err = decimal(get("kb")); err != nil {
 		return r, fmt.Errorf("kb: %q is not a number", get("kb"))
 	}
+	if cost := get("cost"); cost != "" {
+		if r.Hint, err = costHint(cost); err != nil {
+			return r, err
+		}
+	}
 	if r.Rank, err = decimal(get("rank")); err != nil {
 		return r, fmt.Errorf("rank: %q is not a number", get("rank"))
 	}
@@ -249,6 +275,18 @@
 	pastMost  = 600 * micro.Second // beyond any deadline and window; what came before that came then
 )
 
+// costMost bounds the work that a request may be said to take; more is taken for it.
+const costMost = micro.Time(3600) * micro.Second
+
+// costHint reads the work to expect, in milliseconds on one core.
+func costHint(text string) (micro.Time, error) {
+	ms, err := decimal(text)
+	if err != nil {
+		return 0, fmt.Errorf("cost: %q is not a number of milliseconds", text)
+	}
+	return micro.Time(math.Min(ms*float64(micro.Millisecond), float64(costMost))), nil
+}
+
 // decimal reads digits with at most one point among them: no sign, exponent or word, which ParseFloat takes too.
 func decimal(s string) (float64, error) {
 	if strings.Trim(s, "0123456789.") != "" {
--- a/internal/lab/tables_test.go
+++ b/internal/lab/tables_test.go
@@ -53,7 +53,7 @@
 
 func ours(t reflect.Type) bool {
 	p := t.PkgPath()
-	for _, own := range []string{"control", "internal/edge", "internal/routing", "internal/transport", "internal/config"} {
+	for _, own := range []string{"control", "internal/edge", "internal/routing", "internal/workerpool", "internal/vaultlink", "internal/transport", "internal/config"} {
 		if p == "pewterline/"+own {
 			return true
 		}
@@ -116,7 +116,7 @@
 		}
 	}
 	for _, want := range []string{"control.Controller.keys", "control.Controller.live", "control.Controller.heard", "control.class.lat",
-		"routing.keyTable.byName", "routing.keyTable.byID", "routing.Core.wakes", "edge.poolLink.runs", "transport.room.conns", "transport.Conn.buf"} {
+		"routing.keyTable.byName", "routing.keyTable.byID", "routing.Core.wakes", "workerpool.Runner.runs", "transport.room.conns", "transport.Conn.buf"} {
 		require.Contains(t, strings.Join(counted, " "), want)
 	}
 }
--- /dev/null
+++ b/internal/routing/calls.go
@@ -0,0 +1,125 @@
+package routing
+
+import (
+	"fmt"
+
+	"pewterline/control"
+	"pewterline/internal/decide/calls"
+	"pewterline/internal/micro"
+)
+
+// Callee carries out the calls that runs wait for. Each Ask is followed by one Core.CallEnded with its id, unless GiveUp or
+// another Ask with that id comes first; none of them is called before Ask or GiveUp returns.
+type Callee interface {
+	// Ask makes a call. body is not changed.
+	Ask(id string, wait micro.Time, body []byte)
+	// GiveUp ends the wait for a call; its effect is not known.
+	GiveUp(id string)
+}
+
+// CallingRunner is a Runner whose runs may wait for calls: it tells so by Core.Blocked.
+type CallingRunner interface {
+	Runner
+	// Supply hands a run the reply that it waits for. reply is not changed.
+	Supply(id string, reply []byte)
+}
+
+// call is what a run waits for.
+type call struct {
+	body  []byte
+	asked micro.Time // while it is in hand
+	// mayHaveRun says that this call was made, and that its end does not prove that it had no effect.
+	mayHaveRun bool
+}
+
+// checkCalls turns down settings whose calls this runner cannot carry out.
+func checkCalls(s control.Settings, runner Runner) error {
+	if s.Below == control.BelowNone {
+		return nil
+	}
+	if _, ok := runner.(CallingRunner); !ok {
+		return fmt.Errorf("routing: settings.extra.downstream: calls need a worker pool to do the work")
+	}
+	return nil
+}
+
+// UseCallee has runs call by way of e.
+func (c *Core) UseCallee(e Callee) { c.callee = e }
+
+// Blocked says that the run of id waits for a call with this body. The core keeps body.
+func (c *Core) Blocked(id string, body []byte) {
+	r := c.runs[id]
+	if r == nil || !r.state.started() {
+		return
+	}
+	was := r.state
+	c.giveUpCall(r)
+	r.state, r.call = blocked, call{body: body}
+	switch was {
+	case running:
+		c.events = append(c.events, control.CallNeeded{ID: r.id})
+	case calling: // it cannot wait for two: the second is what counts
+		c.events = append(c.events, control.CallDone{ID: r.id, Outcome: calls.Broken.ForModule()})
+	}
+}
+
+// makeCall carries out the module's leave. Guards the rule on effects itself, whatever the decisions were: a call that may have
+// had its effect is not made again for a request that may run once.
+func (c *Core) makeCall(r *request, wait micro.Time) {
+	if r == nil || r.state != blocked || r.answered || c.callee == nil {
+		return
+	}
+	class := c.settings.Classes[r.Class]
+	if r.call.mayHaveRun && class.Effect != control.Safe {
+		c.logf("routing: call of %s withheld: the one before may have run", r.RunID)
+		c.answer(r, Answer{Status: Failed, Reason: "whether its call ran is not known"})
+		c.events = append(c.events, control.Gone{ID: r.id}) // the module takes the call for made
+		return
+	}
+	if wait <= 0 {
+		wait = micro.Of(class.Deadline)
+	}
+	r.state, r.call.asked = calling, c.now
+	c.callee.Ask(r.RunID, wait, r.call.body)
+}
+
+// skipCall lets a run go on without its call. The worker pool has no word for it: an empty reply has the run go on.
+func (c *Core) skipCall(r *request) {
+	if r == nil || r.state != blocked || r.answered {
+		return
+	}
+	c.resume(r, nil)
+}
+
+// CallEnded says how a call ended that Callee.Ask made. The core keeps reply, which only calls.Answered has.
+func (c *Core) CallEnded(id string, outcome calls.Outcome, reply []byte) {
+	r := c.runs[id]
+	if r == nil || r.state != calling {
+		return
+	}
+	took := max(c.now-r.call.asked, 0)
+	c.events = append(c.events, control.CallDone{ID: r.id, Outcome: outcome.ForModule(), Took: took.Duration()})
+	if outcome == calls.Answered {
+		c.resume(r, reply)
+		return
+	}
+	r.state = blocked
+	r.call.mayHaveRun = r.call.mayHaveRun || outcome.Proves() != calls.NeverRan
+}
+
+// resume hands a run the reply to its call.
+func (c *Core) resume(r *request, reply []byte) {
+	r.state, r.call = running, call{}
+	if runner, ok := c.runner.(CallingRunner); ok {
+		runner.Supply(r.RunID, reply)
+	}
+}
+
+// giveUpCall ends the wait for a call of a request that is over, or whose run has ended or is stopped.
+func (c *Core) giveUpCall(r *request) {
+	if r.state != calling {
+		return
+	}
+	r.state, r.call.mayHaveRun = blocked, true
+	c.callee.GiveUp(r.RunID)
+}
--- a/internal/routing/handover.go
+++ b/internal/routing/handover.go
@@ -318,7 +318,7 @@
 // KeyedRuns counts the runs of keys that have not ended.
 func (c *Core) KeyedRuns() (n int) {
 	for _, r := range c.runs {
-		if r.state == running && r.key != nil {
+		if r.state.started() && r.key != nil {
 			n++
 		}
 	}
@@ -336,7 +336,7 @@
 		r := c.live[id]
 		c.answer(r, Answer{Status: Failed, Reason: "the process ends"})
 		c.events = append(c.events, control.Gone{ID: id})
-		if r.state != running {
+		if !r.state.started() {
 			c.forget(r)
 		}
 	}
--- a/internal/routing/retune.go
+++ b/internal/routing/retune.go
@@ -33,8 +33,8 @@
 	if len(c.byName)+len(next.Classes) > namesMost {
 		return now, fmt.Errorf("routing: settings.classes: over %d names since the start", namesMost)
 	}
-	if placed.Below != control.BelowNone {
-		return now, fmt.Errorf("routing: settings.extra.downstream: calls below are not offered")
+	if err := checkCalls(next, c.runner); err != nil {
+		return now, err
 	}
 	if c.begun {
 		err = c.ctl.Retune(placed)
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -50,6 +50,7 @@
 	At     micro.Time
 	// AtMilli is At as the caller gave it, in Unix milliseconds; 0: it gave none. Servers whose clocks differ agree on it.
 	AtMilli int64
+	Hint    micro.Time // the work to expect, on one core; rough; 0 = not told
 	HeldKB  float64
 	Rank    float64
 	Retry   bool
@@ -93,11 +94,16 @@
 type state uint8
 
 const (
-	held state = iota
-	running
-	joined
+	held    state = iota // not started
+	running              // started, and its run has not ended
+	blocked              // its run waits for leave to make a call
+	calling              // its run waits for the reply to a call that is in hand
+	joined               // waits for the run of another try
 )
 
+// started says that a run was launched for the request and has not ended.
+func (s state) started() bool { return s == running || s == blocked || s == calling }
+
 type request struct {
 	Request
 	id       control.ID
@@ -108,6 +114,7 @@
 	answered bool // its caller has the answer, or has left
 	saving   bool // its run has ended, and the result is on its way to the store of record
 	key      *onceEntry
+	call     call // while blocked or calling
 }
 
 // Core carries requests between fronts, the decision module and a runner.
@@ -115,6 +122,7 @@
 	settings control.Settings
 	ctl      *control.Controller
 	runner   Runner
+	callee   Callee   // nil: runs make no calls
 	recorder Recorder // nil: results are kept in memory only
 	logf     func(format string, args ...any)
 	begun    bool
@@ -152,8 +160,8 @@
 
 // New returns a core around a fresh decision module.
 func New(s control.Settings, runner Runner, logf func(string, ...any)) (*Core, error) {
-	if s.Below != control.BelowNone {
-		return nil, fmt.Errorf("routing: settings.extra.downstream: calls below are not offered")
+	if err := checkCalls(s, runner); err != nil {
+		return nil, err
 	}
 	// A trial, so that settings that make no sense stop the start; the one in use is made at Begin.
 	if _, err := control.New(s); err != nil {
@@ -246,7 +254,7 @@
 // arrive hands a request to the module.
 func (c *Core) arrive(q *request) {
 	e := control.Arrive{
-		ID: q.id, Class: q.Class, Tenant: q.Tenant, Key: q.Key, Age: max(c.now-q.At, q.read-q.At, 0).Duration(),
+		ID: q.id, Class: q.Class, Tenant: q.Tenant, Key: q.Key, Age: max(c.now-q.At, q.read-q.At, 0).Duration(), Hint: q.Hint.Duration(),
 		HeldKB: q.HeldKB, Rank: q.Rank, Retry: q.Retry, Caller: q.Caller,
 	}
 	if c.settings.Classes[q.Class].Effect == control.Keyed {
@@ -269,7 +277,7 @@
 	}
 	c.settle(r)
 	c.events = append(c.events, control.Gone{ID: id})
-	if r.state != running {
+	if !r.state.started() {
 		c.forget(r)
 	}
 }
@@ -346,9 +354,11 @@
 		case control.Fail:
 			c.fail(now, c.live[a.ID])
 		case control.Pause:
-			if r := c.live[a.ID]; r != nil && r.state == running {
-				c.runner.Stop(r.RunID)
-			}
+			c.pause(c.live[a.ID])
+		case control.Call:
+			c.makeCall(c.live[a.ID], micro.Of(a.Timeout))
+		case control.SkipCall:
+			c.skipCall(c.live[a.ID])
 		case control.Keep:
 			if r := c.live[a.ID]; r != nil && r.key != nil {
 				c.keys.keep(r, now+micro.Of(a.For))
@@ -403,7 +413,7 @@
 }
 
 func (c *Core) refuse(r *request, a control.Refuse) {
-	if r == nil || r.state == running {
+	if r == nil || r.state.started() {
 		return // having run, a request is not turned away
 	}
 	if r.key != nil && c.keys.doubtful(r, c.now) { // guards an intake that may have run: it is not refused
@@ -427,15 +437,24 @@
 	if now >= r.At+micro.Of(c.settings.Classes[r.Class].Deadline)-lateBy {
 		a = Answer{Status: Expired, Reason: "past its deadline"}
 	}
-	if planted.Bug(planted.RefuseRun) && r.state == running {
+	if planted.Bug(planted.RefuseRun) && r.state.started() {
 		a = Answer{Status: Refused, After: micro.Second}
 	}
 	c.answer(r, a)
-	if r.state != running {
+	if !r.state.started() {
 		c.forget(r)
 	}
 }
 
+// pause stops a run, and gives up the call that it waits for.
+func (c *Core) pause(r *request) {
+	if r == nil || !r.state.started() {
+		return
+	}
+	c.giveUpCall(r)
+	c.runner.Stop(r.RunID)
+}
+
 // reuse answers r from the result of its key, or lets it wait for the run.
 func (c *Core) reuse(r *request) {
 	if r == nil || r.state != held {
@@ -458,9 +477,11 @@
 // Finished tells how the run of id ended. The core keeps result.
 func (c *Core) Finished(id string, end End, result []byte) {
 	r := c.runs[id]
-	if r == nil || r.state != running || r.saving {
+	if r == nil || !r.state.started() || r.saving {
 		return
 	}
+	c.giveUpCall(r)
+	r.state = running
 	k := r.key
 	switch {
 	case k == nil || k.runner != r.id:
@@ -599,6 +620,7 @@
 	if !r.answered {
 		r.answered = true
 		c.open--
+		c.giveUpCall(r)
 	}
 }
 
