Take a call that ended as moot for one that never ran

Cause: callDone took only 'full' and 'unreached' as proof that a call never ran, though api.go says that 'moot' proves it too, and the vault's pointless reply is mapped to it. An effectful request was failed at a call that had not been made.

Change: Outcome.provesUnrun holds the rule once; callDone asks it.

--- a/control/api.go
+++ b/control/api.go
@@ -66,6 +66,11 @@
 	OutcomeMoot              // nothing started, the request was already over
 )
 
+// provesUnrun says that what ended so never ran, so that it may be tried again whatever its effect.
+func (o Outcome) provesUnrun() bool {
+	return o == OutcomeFull || o == OutcomeUnreached || o == OutcomeMoot
+}
+
 // Class describes one class of requests.
 type Class struct {
 	Name       string
--- a/control/control.go
+++ b/control/control.go
@@ -885,8 +885,7 @@
 	c.enter(r, atCall)
 	r.since = c.now + callPause<<min(r.failed, 6) // no storm of calls on what is already full
 	r.failed++
-	proof := e.Outcome == OutcomeFull || e.Outcome == OutcomeUnreached
-	if !proof && (c.classes[r.Class].Effect != Safe || r.failed >= callTries) && !r.answered {
+	if !e.Outcome.provesUnrun() && (c.classes[r.Class].Effect != Safe || r.failed >= callTries) && !r.answered {
 		c.fail(r) // may have taken effect: never called again
 	}
 }
