--- a/internal/routing/calls.go
+++ b/internal/routing/calls.go
@@ -11,12 +11,20 @@
 // Callee carries out the calls that runs wait for. Each Ask is followed by one Core.CallEnded with its id, unless GiveUp or
 // another Ask with that id comes first; none of them is called before Ask or GiveUp returns.
 type Callee interface {
-	// Ask makes a call. body is not changed.
-	Ask(id string, wait micro.Time, body []byte)
+	// Ask makes a call. Its body is not changed.
+	Ask(Call)
 	// GiveUp ends the wait for a call; its effect is not known.
 	GiveUp(id string)
 }
 
+// Call is one call that a run waits for.
+type Call struct {
+	ID         string // of the try, as the runner has it
+	Wait       micro.Time
+	Repeatable bool // it may be made again whatever became of it
+	Body       []byte
+}
+
 // CallingRunner is a Runner whose runs may wait for calls: it tells so by Core.Blocked.
 type CallingRunner interface {
 	Runner
@@ -28,8 +36,17 @@
 type call struct {
 	body  []byte
 	asked micro.Time // while it is in hand
-	// mayHaveRun says that this call was made, and that its end does not prove that it had no effect.
-	mayHaveRun bool
+	// last is how this call ended before, where it was made: what follows depends on it.
+	last calls.Outcome
+	made bool
+}
+
+// ended notes an end of the call; what one end has left open, no later one proves.
+func (k *call) ended(outcome calls.Outcome) {
+	if !k.made || k.last.Proves() == calls.NeverRan {
+		k.last = outcome
+	}
+	k.made = true
 }
 
 // checkCalls turns down settings whose calls this runner cannot carry out.
@@ -70,7 +87,7 @@
 		return
 	}
 	class := c.settings.Classes[r.Class]
-	if r.call.mayHaveRun && class.Effect != control.Safe {
+	if r.call.made && !calls.MayRepeat(class.Effect, r.call.last) {
 		c.logf("routing: call of %s withheld: the one before may have run", r.RunID)
 		c.answer(r, Answer{Status: Failed, Reason: "whether its call ran is not known"})
 		c.events = append(c.events, control.Gone{ID: r.id}) // the module takes the call for made
@@ -80,7 +97,8 @@
 		wait = micro.Of(class.Deadline)
 	}
 	r.state, r.call.asked = calling, c.now
-	c.callee.Ask(r.RunID, wait, r.call.body)
+	repeatable := calls.MayRepeat(class.Effect, calls.GivenUp)
+	c.callee.Ask(Call{ID: r.RunID, Wait: wait, Repeatable: repeatable, Body: r.call.body})
 }
 
 // skipCall lets a run go on without its call. The worker pool has no word for it: an empty reply has the run go on.
@@ -104,7 +122,7 @@
 		return
 	}
 	r.state = blocked
-	r.call.mayHaveRun = r.call.mayHaveRun || outcome.Proves() != calls.NeverRan
+	r.call.ended(outcome)
 }
 
 // resume hands a run the reply to its call.
@@ -120,6 +138,7 @@
 	if r.state != calling {
 		return
 	}
-	r.state, r.call.mayHaveRun = blocked, true
+	r.state = blocked
+	r.call.ended(calls.GivenUp)
 	c.callee.GiveUp(r.RunID)
 }
--- a/internal/vaultlink/client.go
+++ b/internal/vaultlink/client.go
@@ -1,5 +1,5 @@
 // Package vaultlink makes calls to the vault over a few shared links on the event loop. Each call ends once: by its reply, by its
-// time, by the end of its link, or by being given up.
+// time, by the end of its link, or by being given up. A link that has fallen silent gets no new calls while another can be had.
 package vaultlink
 
 import (
@@ -7,6 +7,7 @@
 
 	"pewterline/internal/decide/calls"
 	"pewterline/internal/micro"
+	"pewterline/internal/routing"
 	"pewterline/internal/transport"
 )
 
@@ -46,23 +47,26 @@
 	ended   Ended
 	logf    func(format string, args ...any)
 
-	calls   map[string]*call // in hand, by the request's id
-	order   []*call          // the same, oldest first; those that are over are taken out by Check
-	waiting []*call          // for a link that is being dialled, oldest first
-	links   []*link
-	drop    func() // gives up the link that is being dialled; nil while none is
-	results []result
-	nextDue micro.Time
-	reached bool // the last attempt to open a link did not fail
+	calls     map[string]*call // in hand, by the request's id
+	order     []*call          // the same, oldest first; those that are over are taken out by Check
+	waiting   []*call          // for a link that is being dialled, oldest first
+	links     []*link
+	drop      func() // gives up the link that is being dialled; nil while none is
+	results   []result
+	nextDue   micro.Time
+	reached   bool // the last attempt to open a link did not fail
+	replyTime replyTime
 }
 
 // call is one call in hand.
 type call struct {
-	id   string
-	body []byte
-	due  micro.Time
-	link *link // nil: it has not been sent
-	over bool
+	id         string
+	body       []byte
+	due        micro.Time
+	sent       micro.Time
+	repeatable bool  // it may be made again whatever became of it
+	link       *link // nil: it has not been sent
+	over       bool
 }
 
 // result is how a call ended, until Check tells it.
@@ -94,14 +98,14 @@
 }
 
 // Ask is part of routing.Callee.
-func (c *Client) Ask(id string, wait micro.Time, body []byte) {
-	c.GiveUp(id)
+func (c *Client) Ask(request routing.Call) {
+	c.GiveUp(request.ID)
 	if len(c.calls) >= maxCalls {
-		c.results = append(c.results, result{id: id, outcome: calls.NotSent})
+		c.results = append(c.results, result{id: request.ID, outcome: calls.NotSent})
 		return
 	}
-	q := &call{id: id, body: body, due: c.loop.Now() + wait}
-	c.calls[id] = q
+	q := &call{id: request.ID, body: request.Body, due: c.loop.Now() + request.Wait, repeatable: request.Repeatable}
+	c.calls[q.id] = q
 	c.order = append(c.order, q)
 	c.nextDue = min(c.nextDue, q.due)
 	c.place(q)
@@ -110,16 +114,14 @@
 // place sends a call on a link, or has it wait for one that is being dialled.
 func (c *Client) place(q *call) {
 	best, serving := c.bestLink(q.id)
+	full := serving >= MaxLinks
 	switch {
-	case best != nil:
+	case best != nil && (!best.suspect || full):
 		best.send(q, c.loop.Now())
-		if best.load() >= callsPerLink && serving < MaxLinks {
+		if best.load() >= callsPerLink && !full {
 			c.dial() // for those to come
 		}
-	case serving < MaxLinks:
-		c.waiting = append(c.waiting, q)
-		c.dial()
-	case c.retireOldest(): // no link may carry this id again: one makes room for a fresh one
+	case !full, c.retireOldest(): // no link may carry this id again: one makes room for a fresh one
 		c.waiting = append(c.waiting, q)
 		c.dial()
 	default:
@@ -127,53 +129,51 @@
 	}
 }
 
-// bestLink is the link with the fewest calls of those that may carry an id, nil if none may, and the number of links that serve.
+// bestLink is the link with the fewest calls of those that may carry an id, a silent one only where there is no other; nil if
+// none may. serving counts the links that take calls.
 func (c *Client) bestLink(id string) (best *link, serving int) {
 	for _, l := range c.links {
 		if l.retired {
 			continue
 		}
 		serving++
-		if !l.givenUp[id] && (best == nil || l.load() < best.load()) {
+		if !l.givenUp[id] && (best == nil || l.betterThan(best)) {
 			best = l
 		}
 	}
 	return best, serving
 }
 
-// retireOldest retires the oldest link that serves, unless too many are retired already.
+// retireOldest retires the oldest link that takes calls, unless too many are retired already.
 func (c *Client) retireOldest() bool {
-	retired := 0
-	var oldest *link
+	if c.retiredLinks() >= maxRetired {
+		return false
+	}
 	for _, l := range c.links {
-		if l.retired {
-			retired++
-		} else if oldest == nil {
-			oldest = l
+		if !l.retired {
+			l.retire()
+			return true
 		}
 	}
-	if oldest == nil || retired >= maxRetired {
-		return false
-	}
-	oldest.retire()
-	return true
+	return false
 }
 
-// boundRetired closes the oldest of the links that were retired, with the calls in hand on it, where they have become too many.
-func (c *Client) boundRetired() {
-	var oldest *link
-	retired := 0
+func (c *Client) retiredLinks() (count int) {
 	for _, l := range c.links {
-		if !l.retired {
-			continue
-		}
-		if retired++; oldest == nil {
-			oldest = l
+		if l.retired {
+			count++
 		}
 	}
-	if retired > maxRetired {
-		oldest.conn.Close()
+	return count
+}
+
+// boundRetired closes the oldest of the links that were retired, with the calls in hand on it, where they have become too many.
+func (c *Client) boundRetired() {
+	if c.retiredLinks() <= maxRetired {
+		return
 	}
+	oldest := slices.IndexFunc(c.links, func(l *link) bool { return l.retired })
+	c.links[oldest].conn.Close()
 }
 
 // dial opens a link, unless one is being opened. One at a time: guards the descriptors against dials that hang.
@@ -189,15 +189,14 @@
 		c.logf("vault: %s is reached again", c.address)
 	}
 	c.reached = true
-	l := &link{client: c, conn: conn, calls: map[string]*call{}, givenUp: map[string]bool{}, idleSince: c.loop.Now()}
+	now := c.loop.Now()
+	l := &link{client: c, conn: conn, calls: map[string]*call{}, givenUp: map[string]bool{}, idleSince: now, heard: now}
 	c.links = append(c.links, l)
-	c.nextDue = min(c.nextDue, l.idleSince+idleTimeout)
+	c.nextDue = min(c.nextDue, now+idleTimeout)
 	waiting := c.waiting
 	c.waiting = nil
 	for _, q := range waiting {
-		if !q.over {
-			l.send(q, c.loop.Now())
-		}
+		l.send(q, now)
 	}
 	return l
 }
@@ -266,7 +265,8 @@
 	}
 }
 
-// Check ends what is due, closes what is idle, and tells how calls ended. It is called at the beginning of a turn.
+// Check ends what is due, looks for links that have fallen silent or idle, and tells how calls ended. It is called at the
+// beginning of a turn.
 func (c *Client) Check(now micro.Time) {
 	if now >= c.nextDue {
 		c.expire(now)
@@ -286,7 +286,7 @@
 	return c.nextDue
 }
 
-// expire gives up the calls whose time is over, and closes the links that have been idle.
+// expire gives up the calls whose time is over, and goes through the links.
 func (c *Client) expire(now micro.Time) {
 	c.order = slices.DeleteFunc(c.order, func(q *call) bool { return q.over })
 	c.nextDue = micro.Never
@@ -298,9 +298,7 @@
 		}
 	}
 	for _, l := range slices.Clone(c.links) {
-		if due := l.closeIdle(now); due > now {
-			c.nextDue = min(c.nextDue, due)
-		}
+		c.nextDue = min(c.nextDue, max(l.check(now), now+1))
 	}
 }
 
--- a/internal/vaultlink/link.go
+++ b/internal/vaultlink/link.go
@@ -17,6 +17,8 @@
 	calls     map[string]*call // in hand on it
 	givenUp   map[string]bool
 	idleSince micro.Time // of the last thing that happened to a call on it
+	heard     micro.Time // when something came last, or it was opened
+	suspect   bool       // it has been silent for longer than usual
 	retired   bool       // it takes no new calls, and is closed with the last one
 	closed    bool
 	out       []byte // scratch
@@ -29,6 +31,14 @@
 
 func (l *link) load() int { return len(l.calls) }
 
+// betterThan prefers a link that is not silent, then the one with fewer calls.
+func (l *link) betterThan(o *link) bool {
+	if l.suspect != o.suspect {
+		return o.suspect
+	}
+	return l.load() < o.load()
+}
+
 func (l *link) write(p []byte) {
 	l.out = p[:0]
 	l.conn.Write(p)
@@ -36,9 +46,10 @@
 
 // send makes a call. Its wait is what is left of it, in whole milliseconds, and at least one.
 func (l *link) send(q *call, now micro.Time) {
-	q.link = l
+	q.link, q.sent = l, now
 	l.calls[q.id] = q
 	l.idleSince = now
+	l.client.nextDue = min(l.client.nextDue, now+l.client.replyTime.suspectAfter(len(l.calls)))
 	wait := (q.due - now + micro.Millisecond - 1) / micro.Millisecond
 	l.write(vault.AppendAsk(l.out[:0], q.id, int(min(max(wait, 1), vault.MaxWait)), q.body))
 }
@@ -79,21 +90,21 @@
 	l.client.boundRetired()
 }
 
-// closeIdle closes a link that has been without a call for long; it returns when it will have been.
-func (l *link) closeIdle(now micro.Time) micro.Time {
+// check looks whether the link has been silent or idle for long; it returns when to look again.
+func (l *link) check(now micro.Time) micro.Time {
 	if len(l.calls) > 0 {
-		return micro.Never // the end of the last call tells
+		return l.checkSilence(now)
 	}
 	if due := l.idleSince + idleTimeout; due > now {
 		return due
 	}
-	l.retired = true
-	l.conn.Close()
+	l.retire()
 	return micro.Never
 }
 
 // Receive is part of transport.Session.
 func (l *link) Receive(in []byte) (int, error) {
+	l.heard, l.suspect = l.client.loop.Now(), false
 	n := 0
 	for {
 		reply, size, err := vault.ParseReply(in[n:])
@@ -107,16 +118,23 @@
 
 // take takes up a reply. One for no call in hand is dropped: it has crossed the giving up, or is none of ours.
 func (l *link) take(reply vault.Reply) {
-	q := l.calls[reply.ID]
+	c, q := l.client, l.calls[reply.ID]
 	if q == nil {
 		return
 	}
-	l.release(q, l.client.loop.Now())
+	now := c.loop.Now()
+	l.release(q, now)
+	c.replyTime.add(now - q.sent)
 	var body []byte
 	if reply.Status == vault.Yes {
 		body = append([]byte{}, reply.Body...)
 	}
-	l.client.finish(q, outcomes[reply.Status], body)
+	c.finish(q, outcomes[reply.Status], body)
+	for _, other := range slices.Clone(c.links) {
+		if other != l {
+			other.outlived(q.sent, now)
+		}
+	}
 }
 
 // Idle is part of transport.Session. The link is never closed to make room.
