--- a/cmd/pewterline/main.go
+++ b/cmd/pewterline/main.go
@@ -10,7 +10,6 @@
 	"runtime/debug"
 	"syscall"
 
-	"pewterline/control"
 	"pewterline/internal/config"
 	"pewterline/internal/edge"
 	"pewterline/internal/holdings"
@@ -26,6 +25,14 @@
 // link and the standard streams, with room.
 const spareSockets = 40
 
+// vaultConns are the descriptors for links to the vault, also where only a later configuration has runs call it.
+func vaultConns(cfg config.Config) int {
+	if cfg.Vault == "" {
+		return 0
+	}
+	return vaultlink.MaxConns
+}
+
 func main() {
 	os.Exit(command(os.Args[1:], os.Getenv, os.Stdout, os.Stderr))
 }
@@ -104,9 +111,7 @@
 	if cfg.AJP.Runner != "" {
 		opts.MaxConns -= cfg.AJP.Connections
 	}
-	if cfg.Settings.Below != control.BelowNone {
-		opts.MaxConns -= vaultlink.MaxConns
-	}
+	opts.MaxConns -= vaultConns(cfg)
 	// Before this process listens for proxies: the next one finds it from then on.
 	if wait := meetingPoint(os.TempDir(), cfg, logf); wait != nil {
 		defer func() { _ = wait.Close() }() // the path goes with it
--- a/cmd/pewterline/upgrade.go
+++ b/cmd/pewterline/upgrade.go
@@ -239,7 +239,7 @@
 	case others < 0:
 		l.Bound(h.conns, h.buffers)
 	default:
-		both := h.conns - spareSockets
+		both := h.conns - spareSockets - vaultConns(h.cfg)
 		l.Bound(max(min(both/2, both-others), sureConns), h.buffers/2)
 	}
 }
--- a/control/api.go
+++ b/control/api.go
@@ -120,6 +120,8 @@
 	AnswerSlack time.Duration // grace after a due time
 	DrainGrace  time.Duration // arrivals later than this after a Drain are not run
 
+	ListIgnoresHealth bool // callers' lists tell whether this server runs or drains, and nothing of Health
+
 	HasDeadline   bool // Arrive.Due is given
 	MarksRetries  bool // Arrive.Retry is given
 	WorthByWork   bool // worth counts for each unit of work rather than each request
--- a/internal/edge/admin.go
+++ b/internal/edge/admin.go
@@ -126,9 +126,18 @@
 	return s.state(), nil
 }
 
-// healthy is the answer to health checks and reports.
+// healthy is the answer to health checks.
 func (s *Server) healthy() bool { return !s.out && s.core.Health() }
 
+// listed is what reports say. Where the platform's list tells only whether a server runs or drains, a doubt of its health is no
+// reason to have it taken off: callers hear of it by refusals and by what the answers say.
+func (s *Server) listed() bool {
+	if s.cfg.Settings.ListIgnoresHealth && !s.draining {
+		return !s.out
+	}
+	return s.healthy()
+}
+
 // Counters are the figures, from the start of the process. A class that is gone keeps its own.
 type Counters struct {
 	Passed     map[string]int `json:"passed"`
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -227,7 +227,7 @@
 		s.vault.Check(now)
 	}
 	s.core.Step(now)
-	if !s.handed && (now >= s.nextReport || s.healthy() != s.reported) { // then the successor reports
+	if !s.handed && (now >= s.nextReport || s.listed() != s.reported) { // then the successor reports
 		s.report(now)
 	}
 	if now >= s.nextSweep {
@@ -269,7 +269,7 @@
 }
 
 func (s *Server) report(now micro.Time) {
-	s.reported, s.nextReport = s.healthy(), now+reportEvery
+	s.reported, s.nextReport = s.listed(), now+reportEvery
 	s.loop.Send(lease.Append(nil, s.cfg.Name, s.reported))
 }
 
--- a/internal/routing/calls.go
+++ b/internal/routing/calls.go
@@ -71,11 +71,12 @@
 	}
 	was := r.state
 	c.giveUpCall(r)
-	r.state, r.call = blocked, call{body: body}
+	r.state, r.call.body = blocked, body
 	switch was {
-	case running:
+	case running: // else the run has had no reply, and cannot have gone on: what became of its call before still counts
+		r.call = call{body: body}
 		c.events = append(c.events, control.CallNeeded{ID: r.id})
-	case calling: // it cannot wait for two: the second is what counts
+	case calling:
 		c.events = append(c.events, control.CallDone{ID: r.id, Outcome: calls.Broken.ForModule()})
 	}
 }
@@ -110,12 +111,12 @@
 }
 
 // CallEnded says how a call ended that Callee.Ask made. The core keeps reply, which only calls.Answered has.
-func (c *Core) CallEnded(id string, outcome calls.Outcome, reply []byte) {
+func (c *Core) CallEnded(now micro.Time, id string, outcome calls.Outcome, reply []byte) {
 	r := c.runs[id]
 	if r == nil || r.state != calling {
 		return
 	}
-	took := max(c.now-r.call.asked, 0)
+	took := max(now-r.call.asked, 0)
 	c.events = append(c.events, control.CallDone{ID: r.id, Outcome: outcome.ForModule(), Took: took.Duration()})
 	if outcome == calls.Answered {
 		c.resume(r, reply)
--- a/internal/routing/retune.go
+++ b/internal/routing/retune.go
@@ -44,6 +44,9 @@
 	if err != nil {
 		return now, fmt.Errorf("routing: settings: %w", err)
 	}
+	if placed.Signal != now.Signal { // the value in force had another meaning
+		c.say, c.saying = 0, false
+	}
 	placed.Seed, placed.Cold = now.Seed, now.Cold
 	c.settings = placed
 	c.tally()
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -192,7 +192,8 @@
 	c.begun, c.ctl = true, ctl
 	if c.learned != nil {
 		ctl.Learn(*c.learned)
-		c.say, c.saying = c.learned.Said, s.Signal != control.SignalNone
+		// A predecessor that has said nothing yet has learned 0, which an allowance would take for "send nothing".
+		c.say, c.saying = c.learned.Said, s.Signal != control.SignalNone && c.learned.Said > 0
 	}
 	born := max(now-age, 0)
 	c.carryOut(now, c.ctl.Step(born.Duration(), nil))
--- a/internal/vaultlink/client.go
+++ b/internal/vaultlink/client.go
@@ -38,7 +38,7 @@
 }
 
 // Ended tells how a call ended. reply is the caller's to keep; only calls.Answered has one.
-type Ended func(id string, outcome calls.Outcome, reply []byte)
+type Ended func(now micro.Time, id string, outcome calls.Outcome, reply []byte)
 
 // Client makes calls. All its methods are called on the loop. Ended is only called by Check.
 type Client struct {
@@ -274,7 +274,7 @@
 	results := c.results
 	c.results = nil
 	for _, r := range results {
-		c.ended(r.id, r.outcome, r.reply)
+		c.ended(now, r.id, r.outcome, r.reply)
 	}
 }
 
--- a/internal/vaultlink/client_test.go
+++ b/internal/vaultlink/client_test.go
@@ -52,7 +52,7 @@
 
 func newBench(t *testing.T) *bench {
 	b := &bench{t: t, client: New("v1", t.Logf)}
-	b.client.Attach(b, func(id string, outcome calls.Outcome, reply []byte) {
+	b.client.Attach(b, func(_ micro.Time, id string, outcome calls.Outcome, reply []byte) {
 		b.ended = append(b.ended, fmt.Sprintf("%s %d %s", id[12:], outcome, reply))
 	})
 	return b
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -56,6 +56,7 @@
 		KeepAliveMS float64   `json:"keepalive_max_ms"`
 		KeyKB       float64   `json:"key_kb"`
 		MemoryKB    float64   `json:"memory_kb"`
+		Readiness   *bool     `json:"readiness"`
 		Deadline    bool      `json:"passes_deadline"`
 		RunFactor   float64   `json:"run_factor"`
 		Say         string    `json:"say"`
@@ -89,7 +90,7 @@
 		CallLinger: millis(x.LingerMS), AnswerSlack: millis(t.Rules.SlackMS), DrainGrace: millis(t.Rules.GraceMS),
 		HasDeadline: x.Deadline, MarksRetries: t.Clients.MarksRetry, WorthByWork: t.WorthBy == "work",
 		OverShare: t.OverShare, SignalHeeded: millis(x.HeededMS), KeepAliveMax: millis(x.KeepAliveMS),
-		Fresh: millis(x.FreshMS),
+		Fresh: millis(x.FreshMS), ListIgnoresHealth: x.Readiness != nil && !*x.Readiness,
 	}
 	if t.Limits.RetryAfter {
 		s.MaxRetryAfter = millis(t.Limits.MaxRetryAfterMS)
--- a/internal/workerpool/checks.go
+++ b/internal/workerpool/checks.go
@@ -8,77 +8,85 @@
 )
 
 const (
-	// checkTimeout is how long the worker pool may take over a deep check before it counts as failed.
+	// checkTimeout is how long a deep check waits for the worker pool.
 	checkTimeout = micro.Second
-	// checkFresh is how long the outcome of a deep check answers further ones: it costs the cores as work does.
+	// checkFresh is how long a run that ended well, or the outcome of a verification, answers deep checks: a verification costs
+	// the cores as work does.
 	checkFresh = micro.Second
 	// checkWaiters bounds the deep checks that wait for one outcome; one more fails at once.
 	checkWaiters = 64
+	// never is before any time of the clock.
+	never = micro.Time(-1 << 62)
 )
 
-// deepChecks shares one verification by the worker pool among all deep health checks that come while it is under way or fresh.
+// deepChecks tells deep health checks whether work gets done. A run that has ended well lately proves that it does. Else the
+// worker pool is asked to verify it, once for all checks that come while that is under way or fresh.
 type deepChecks struct {
-	count   int // of verifications; names the one under way
-	waiters []func(good bool)
-	due     micro.Time // of the verification under way
-	known   bool       // there has been an outcome
-	good    bool       // that outcome
-	at      micro.Time // when it came
+	count    int // of verifications; names the one under way
+	waiters  []func(good bool)
+	began    micro.Time // the verification under way
+	known    bool       // there has been an outcome on this link
+	good     bool       // that outcome
+	at       micro.Time // when it came
+	lastPass micro.Time // when a run last ended well
 }
 
 func tagOf(count int) string { return "check" + strconv.Itoa(count) }
 
-// Verify has the worker pool do the work of a deep health check and tells done whether it went well: at once where the link is
-// down or the last outcome is fresh, else within checkTimeout.
+// Verify tells done whether work gets done: at once where that is known, else within checkTimeout.
 func (p *Runner) Verify(done func(good bool)) {
 	c, now := &p.checks, p.loop.Now()
 	switch {
-	case !p.synced || len(c.waiters) >= checkWaiters:
-		done(false)
+	case now < c.lastPass+checkFresh:
+		done(true)
 	case c.known && now < c.at+checkFresh:
 		done(c.good)
+	case len(c.waiters) >= checkWaiters:
+		done(false)
+	case c.underWay():
+		c.waiters = append(c.waiters, done)
 	default:
 		c.waiters = append(c.waiters, done)
-		if len(c.waiters) == 1 {
-			c.count++
-			c.due = now + checkTimeout
-			p.write(pool.AppendVerify(p.out[:0], tagOf(c.count)))
+		c.count++
+		c.began = now
+		if p.synced { // else once it is
+			p.sendVerify()
 		}
 	}
 }
 
+func (p *Runner) sendVerify() { p.write(pool.AppendVerify(p.out[:0], tagOf(p.checks.count))) }
+
+func (c *deepChecks) underWay() bool { return len(c.waiters) > 0 }
+
 // answered takes up the outcome of the verification of that tag; one that comes too late is dropped.
 func (c *deepChecks) answered(now micro.Time, tag string, good bool) {
-	if len(c.waiters) == 0 || tag != tagOf(c.count) {
-		return
+	if c.underWay() && tag == tagOf(c.count) {
+		c.end(now, good)
 	}
-	c.known, c.good, c.at = true, good, now
-	c.tell(good)
 }
 
 // declined says that the worker pool does not verify here: whoever asks gets what the link itself proves.
 func (c *deepChecks) declined(now micro.Time, tag string) { c.answered(now, tag, true) }
 
-// lost fails what waits for an outcome that cannot come any more.
-func (c *deepChecks) lost() {
-	c.known = false
-	c.tell(false)
-}
+// forget says that the link has changed: what was found on the one before says nothing of this one.
+func (c *deepChecks) forget() { c.known = false }
 
-// expire fails the verification under way once its time is up; it returns when that is.
+// expire ends the verification under way once its time is up: it went well if a run has ended well meanwhile. It returns when that
+// is due.
 func (c *deepChecks) expire(now micro.Time) micro.Time {
-	if len(c.waiters) == 0 {
+	if !c.underWay() {
 		return micro.Never
 	}
-	if now < c.due {
-		return c.due
+	if due := c.began + checkTimeout; now < due {
+		return due
 	}
-	c.known, c.good, c.at = true, false, now
-	c.tell(false)
+	c.end(now, c.lastPass >= c.began)
 	return micro.Never
 }
 
-func (c *deepChecks) tell(good bool) {
+func (c *deepChecks) end(now micro.Time, good bool) {
+	c.known, c.good, c.at = true, good, now
 	waiters := c.waiters
 	c.waiters = nil
 	for _, done := range waiters {
--- a/internal/workerpool/link.go
+++ b/internal/workerpool/link.go
@@ -49,7 +49,7 @@
 	old := p.conn
 	p.conn, p.next, p.synced, p.polled, p.begun, p.remarks = p.next, nil, false, nil, false, 0
 	p.links++
-	p.checks.lost()
+	p.checks.forget()
 	if old != nil {
 		old.Close()
 	}
@@ -92,7 +92,7 @@
 		p.next = nil
 	case p.conn:
 		p.conn, p.synced = nil, false
-		p.checks.lost()
+		p.checks.forget()
 		p.logf("pool: link lost, %d runs under way", len(p.runs))
 		if p.next != nil {
 			p.use()
@@ -161,6 +161,9 @@
 		p.startAnew(r)
 		return nil
 	}
+	if m.End == pool.Pass {
+		p.checks.lastPass = p.loop.Now()
+	}
 	delete(p.runs, m.ID)
 	p.core.Finished(m.ID, ends[m.End], p.keep(m.Result))
 	return nil
--- a/internal/workerpool/resync.go
+++ b/internal/workerpool/resync.go
@@ -35,6 +35,9 @@
 			p.resyncReply(r)
 		}
 	}
+	if p.checks.underWay() {
+		p.sendVerify()
+	}
 	for link := range p.acked { // those before have told all they can
 		if link != p.links {
 			delete(p.acked, link)
--- a/internal/workerpool/runner.go
+++ b/internal/workerpool/runner.go
@@ -85,7 +85,7 @@
 
 // New returns a runner without a link. Attach must follow.
 func New(config Config, logf func(format string, args ...any)) *Runner {
-	return &Runner{config: config, logf: logf, runs: map[string]*run{}, acked: map[int]int{}}
+	return &Runner{config: config, logf: logf, runs: map[string]*run{}, acked: map[int]int{}, checks: deepChecks{lastPass: never}}
 }
 
 // Attach ties the runner to its core and its loop, and opens the link.
