--- a/internal/lab/happen.go
+++ b/internal/lab/happen.go
@@ -64,7 +64,7 @@
 	case faults.Half:
 		for _, e := range slices.Clone(l.net.Node(f.Node).Ends()) {
 			if e.IsOpen() && e.Peer() == f.Peer {
-				e.CloseWrite()
+				e.CutWrite()
 			}
 		}
 	case faults.Flood:
--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -430,7 +430,7 @@
 	}
 	switch v.Kind {
 	case virtual.Halved: // who sends no more has left, as far as the program can tell
-		if v.Dialer {
+		if v.Dialer || v.Why == virtual.ByCut && c.kind != link {
 			c.left = true
 		} else if c.kind != link { // a server that sends no more answers nothing, and takes nothing that comes later
 			o.connEnded(c, v)
--- a/internal/rules/rules_test.go
+++ b/internal/rules/rules_test.go
@@ -235,6 +235,11 @@
 			s.after(60 * micro.Millisecond)
 			s.event(1, virtual.Halved, "s0", "p0", false, nil)
 		}},
+		{"cut by the network with a request open", "", func(s *scene) {
+			s.ask("a", "block-view", "")
+			s.after(60 * micro.Millisecond)
+			s.o.Tap(virtual.Event{At: s.w.Now(), Kind: virtual.Halved, Why: virtual.ByCut, Conn: 1, Node: "s0", Peer: "p0"})
+		}},
 		{"shut as a request comes", "", func(s *scene) {
 			s.ask("a", "block-view", "")
 			s.event(1, virtual.Halved, "s0", "p0", false, nil)
--- a/internal/virtual/net.go
+++ b/internal/virtual/net.go
@@ -47,7 +47,7 @@
 	Arrived                  // Bytes have reached Node's machine
 	Ended                    // Node has no more of the connection; Why tells
 	Packet                   // a datagram with Bytes has reached Node
-	Halved                   // Node sends no more, and still reads
+	Halved                   // Node sends no more, and still reads; Why tells
 	Tried                    // Node tries to connect to Addr
 )
 
@@ -523,11 +523,16 @@
 // Close ends the stream from this side. Where something has arrived unread, that is a reset, as with TCP.
 func (e *End) Close() { e.finish(ByItself) }
 
-// CloseWrite sends the end of the stream, and goes on reading.
-func (e *End) CloseWrite() {
+// CloseWrite sends the end of the stream, and goes on reading. CutWrite is the same as a fault of the network.
+func (e *End) CloseWrite() { e.halve(ByItself) }
+
+// CutWrite has the network end the stream from this end, which goes on reading and knows nothing of it.
+func (e *End) CutWrite() { e.halve(ByCut) }
+
+func (e *End) halve(why Why) {
 	if e.open && !e.fin {
 		e.fin = true
-		e.node.net.tap(e, Event{Kind: Halved})
+		e.node.net.tap(e, Event{Kind: Halved, Why: why})
 		if len(e.unsent) == 0 {
 			e.send(segment{fin: true})
 		}
