--- a/internal/lab/hunt.go
+++ b/internal/lab/hunt.go
@@ -94,7 +94,11 @@
 // Shrink makes a failing script smaller as long as it breaks the same rule in the same way. plays bounds the tries;
 // told hears of each step, where it is not nil.
 func Shrink(s faults.Script, plays int, told func(faults.Script)) (faults.Script, rules.Violation, error) {
-	first, err := Play(s, Options{StopAtFirst: true})
+	return shrink(s, plays, told, Options{StopAtFirst: true})
+}
+
+func shrink(s faults.Script, plays int, told func(faults.Script), opts Options) (faults.Script, rules.Violation, error) {
+	first, err := Play(s, opts)
 	if err != nil || len(first.Violations) == 0 {
 		return s, rules.Violation{}, err
 	}
@@ -105,7 +109,7 @@
 		if !ok {
 			return k.Best(), found, nil
 		}
-		out, err := Play(next, Options{StopAtFirst: true})
+		out, err := Play(next, opts)
 		if err != nil {
 			return k.Best(), found, err
 		}
--- a/internal/standin/caller.go
+++ b/internal/standin/caller.go
@@ -20,7 +20,9 @@
 	triesMost  = 4
 	idleMost   = 6 * micro.Second
 	probeEvery = 2 * micro.Second
-	tenantAt   = 4 // among a request's fields
+	tenantAt   = 4  // among a request's fields
+	hastyOneIn = 20 // requests to a server with a vault
+	hastyMost  = 400 * micro.Millisecond
 )
 
 // Caller is a proxy that speaks Thrift, or a web front end that speaks AJP. It has a list of servers that may be out
@@ -410,6 +412,9 @@
 	if c.hastyUntil > w.Now() {
 		wait = min(wait, c.hasty)
 	}
+	if c.st.Deployment.Vault && c.rng.IntN(hastyOneIn) == 0 { // some give up while a run waits for a call
+		wait = min(wait, micro.Time(c.rng.Int64N(int64(hastyMost))))
+	}
 	t.timer = w.In(wait, func() { k.giveUp(t) })
 }
 
