--- a/cmd/pewterlab/main.go
+++ b/cmd/pewterlab/main.go
@@ -110,6 +110,9 @@
 	} else {
 		fmt.Fprintf(out, "%v simulated in %v (%.1f to one), %d events, %d turns, %d answers %v, worth served in time %.3f\n", o.Simulated.Duration(),
 			took.Round(time.Millisecond), o.Simulated.Duration().Seconds()/took.Seconds(), o.Events, o.Turns, o.Requests, o.Answers, o.Worth)
+		if s.Vault {
+			printCalls(out, o)
+		}
 	}
 	for _, v := range o.Violations {
 		fmt.Fprintf(out, "seed %d: %s\n", s.Seed, v)
@@ -120,6 +123,14 @@
 	return clean, nil
 }
 
+// printCalls tells what became of the calls, and of one request with a call.
+func printCalls(out io.Writer, o lab.Outcome) {
+	fmt.Fprintf(out, "replies of the vault %v; a request with a call:\n", o.Replies)
+	for _, line := range o.Example {
+		fmt.Fprintln(out, "   ", line)
+	}
+}
+
 type huntCmd struct {
 	worldFlags
 	Seeds  string        `default:"1.." help:"Seeds A..B; without B there is no end."`
--- a/cmd/pewterlab/main_test.go
+++ b/cmd/pewterlab/main_test.go
@@ -29,6 +29,8 @@
 	}{
 		{[]string{"run", "--script", good}, clean, "simulated"},
 		{[]string{"run", "--seed", "3", "--profile", "calm", "--seconds", "1", "--print"}, clean, "world seed=3 profile=calm"},
+		{[]string{"run", "--seed", "3", "--profile", "calm", "--seconds", "1", "--vault"}, clean, "call's reply: yes"},
+		{[]string{"run", "--vault", "--edges", "2"}, faulty, "vault: edges pass work on"},
 		{[]string{"run", "--script", bad}, faulty, "line 2: kind: unknown \"quake\""},
 		{[]string{"run", "--script", filepath.Join(dir, "none")}, faulty, "none"},
 		{[]string{"run", "--profile", "tea"}, faulty, "profile: unknown"},
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -47,6 +47,8 @@
 	Turns      uint64
 	Requests   int            // tries that the servers have answered
 	Answers    map[string]int // by kind
+	Replies    map[string]int // of the vault to calls, by status
+	Example    []string       // what was seen of a request that was served after its run had made a call
 	Asked      map[string]int // jobs, by class
 	Served     map[string]int
 	Worth      float64        // served within its aim, as a share of what was asked
@@ -143,6 +145,7 @@
 	out.Violations, out.Digest, out.Reached = l.obs.Violations, l.w.Digest(), l.obs.Reached()
 	out.Simulated, out.Events, out.Answers = l.w.Since(), l.w.Events(), l.obs.Answers
 	out.Asked, out.Served = l.st.Asked, l.st.Served
+	out.Replies, out.Example = l.obs.Replies, l.obs.Example
 	out.Turns, out.Seen = l.turns, l.obs.Seen
 	for _, s := range append(slices.Clone(l.servers), l.edges...) {
 		out.Turns += s.host.Turns()
@@ -287,6 +290,7 @@
 		panic(err) // the settings are our own
 	}
 	l.obs.Boots(s.name, node.Life)
+	l.obs.CallsAt(s.name, s.cfg.Vault)
 	srv := s.srv
 	s.host = virtual.NewHost(node, transport.Options{MaxConns: sockets - 40, Buffers: memory / 8, Logf: logf}, srv, rng,
 		virtual.Cost{Turn: 40, KB: 15}, func(t *transport.Loop) {
@@ -393,6 +397,8 @@
 	_ = s.host.Loop().Execute(func() {
 		if err := srv.Reload(next); err != nil {
 			s.l.log("%s: %v", s.name, err)
+		} else {
+			s.l.obs.CallsAt(s.name, next.Vault)
 		}
 	})
 }
--- a/internal/rules/calls.go
+++ b/internal/rules/calls.go
@@ -83,6 +83,7 @@
 	}
 	o.judgeOneOpen(made)
 	o.judgeNotOver(made)
+	o.judgeAddress(made)
 	if u := made.run; u == nil || len(u.points) == 0 {
 		o.report("call", s, made.request, "for no run: %s", m.ID)
 	} else {
@@ -126,6 +127,7 @@
 	if made.over {
 		o.reach(c.s, "reply crosses unask")
 	}
+	o.Replies[m.Status.String()]++
 	made.status, made.reply = m.Status, bytes.Clone(m.Body)
 	o.noteCall(made, "call's reply: %s", m.Status)
 	o.reach(c.s, fmt.Sprintf("reply %s drain%d", m.Status, o.drainPhase(c.s)))
--- a/internal/rules/calls_test.go
+++ b/internal/rules/calls_test.go
@@ -190,6 +190,20 @@
 			s.answer(thrift.AppendBroken(nil, n, nil))
 			s.event(4, virtual.Ended, "s0", "v0", true, nil)
 		}},
+		{"to the address before", "call/to another address", func(s *scene) {
+			s.o.CallsAt("s0", "v0/b")
+			s.after(30 * micro.Millisecond)
+			s.waiting(callBig, view)
+			s.call(4, callBig)
+		}},
+		{"as the address changes", "", func(s *scene) {
+			n := s.waiting(callBig, view)
+			s.o.CallsAt("s0", "v0/b")
+			s.call(4, callBig)
+			s.reply(4, callBig, vault.Yes)
+			s.supply(callBig, "reply "+callBig)
+			s.ends(n, callBig)
+		}},
 		{"deep check answered", "", func(s *scene) {
 			s.event(1, virtual.Arrived, "s0", "p0", false, thrift.AppendProbe(nil, 7, true))
 			s.after(micro.Second)
--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -87,6 +87,8 @@
 	Most      int // violations that are told; further ones are counted alone
 	Answers   map[string]int
 	Seen      map[string]int // how often each situation came about, faults aside
+	Replies   map[string]int // of the vault to calls, by status
+	Example   []string       // what was seen of the first request that was served after its run had made a call
 
 	w       *virtual.World
 	wall    virtual.Wall
@@ -143,6 +145,9 @@
 	tried   micro.Time // when it last tried to reach its worker pool
 	calls   []*call    // open, or made a short while ago
 	checks  []check
+	callsAt string // the address of the vault in its configuration; "": not told
+	// callsMoved is when that was told.
+	callsMoved micro.Time
 	// blockedTold is the number of the last notice that a run waits for a call which its worker pool has sent.
 	blockedTold uint64
 }
@@ -224,8 +229,9 @@
 	body      []byte
 	status    int
 	result    []byte
-	broken    bool // no message can be told from the next any more
-	left      bool // the caller closed its end, or the network did
+	broken    bool   // no message can be told from the next any more
+	left      bool   // the caller closed its end, or the network did
+	addr      string // that was dialled
 	from      string
 	fromLife  int
 	lastGiven int32
@@ -234,7 +240,7 @@
 // New returns an observer of a world. Its Tap is for the network.
 func New(w *virtual.World, r Rules) *Observer {
 	o := &Observer{Rules: r, Most: 5, w: w, classes: map[string]int{}, servers: map[string]*server{}, conns: map[uint64]*conn{},
-		Answers: map[string]int{}, Seen: map[string]int{}, stored: map[string]*run{}, begun: map[string]*run{}, made: map[string]bool{}, ran: map[string][]globalRun{}, reached: map[search.Situation]struct{}{}}
+		Answers: map[string]int{}, Seen: map[string]int{}, Replies: map[string]int{}, stored: map[string]*run{}, begun: map[string]*run{}, made: map[string]bool{}, ran: map[string][]globalRun{}, reached: map[search.Situation]struct{}{}}
 	for i, c := range r.Settings.Classes {
 		o.classes[c.Name] = i
 	}
@@ -375,30 +381,36 @@
 func (o *Observer) report(rule string, s *server, r *request, format string, args ...any) {
 	v := Violation{Rule: rule, Server: s.name, At: o.w.Since(), Text: fmt.Sprintf(format, args...)}
 	if r != nil {
-		all := []*request{r}
-		if k := s.keys[r.once]; r.once != "" && k != nil {
-			all = k.tries
-		}
-		type line struct {
-			note
-			id string
-		}
-		var lines []line
-		for _, q := range all {
-			for _, n := range q.notes {
-				lines = append(lines, line{n, q.id})
-			}
-		}
-		slices.SortStableFunc(lines, func(a, b line) int { return cmp.Compare(a.at, b.at) })
-		for _, l := range lines {
-			v.History = append(v.History, fmt.Sprintf("%v %s %s", l.at.Duration(), l.id, l.text))
-		}
+		v.History = o.history(s, r)
 	}
 	if len(o.Violations) < o.Most {
 		o.Violations = append(o.Violations, v)
 	}
 }
 
+// history is what was seen of a request, with all tries of its intake, in the order of time.
+func (o *Observer) history(s *server, r *request) (out []string) {
+	all := []*request{r}
+	if k := s.keys[r.once]; r.once != "" && k != nil {
+		all = k.tries
+	}
+	type line struct {
+		note
+		id string
+	}
+	var lines []line
+	for _, q := range all {
+		for _, n := range q.notes {
+			lines = append(lines, line{n, q.id})
+		}
+	}
+	slices.SortStableFunc(lines, func(a, b line) int { return cmp.Compare(a.at, b.at) })
+	for _, l := range lines {
+		out = append(out, fmt.Sprintf("%v %s %s", l.at.Duration(), l.id, l.text))
+	}
+	return out
+}
+
 // Tap takes what happens on the network.
 func (o *Observer) Tap(v virtual.Event) {
 	switch v.Kind {
@@ -456,7 +468,7 @@
 
 func (o *Observer) opened(v virtual.Event) {
 	host, what, _ := strings.Cut(v.Addr, "/")
-	c := &conn{s: o.servers[host], from: v.Node, fromLife: v.Life}
+	c := &conn{s: o.servers[host], addr: v.Addr, from: v.Node, fromLife: v.Life}
 	switch {
 	case host[0] == 'w':
 		c.kind, c.s = link, o.servers["s"+host[1:]]
@@ -777,6 +789,9 @@
 		}
 	case "served":
 		o.judgeResult(s, r, result)
+		if u := s.runs[r.id]; o.Example == nil && u != nil && len(u.points) > 0 {
+			o.Example = o.history(s, r)
+		}
 		if k := s.keys[r.once]; o.Rules.Store && k != nil && len(k.runs) > 0 {
 			o.stored[s.name+"/"+r.once] = k.runs[len(k.runs)-1]
 		}
