--- /dev/null
+++ b/internal/rules/fall_over.go
@@ -0,0 +1,58 @@
+package rules
+
+import (
+	"slices"
+
+	"pewterline/internal/micro"
+)
+
+func (o *Observer) crowded(s *server, by int) {
+	s.running += by
+	s.marks = append(s.marks, mark{o.w.Now(), s.running})
+}
+
+// judgeMemory judges that the memory booked stays within its bound.
+func (o *Observer) judgeMemory(s *server, now micro.Time) {
+	booked := 0.0
+	s.open = slices.DeleteFunc(s.open, func(r *request) bool { return (r.answers > 0 || r.gaveUp || r.over || r.c.left) && !r.running })
+	for _, r := range s.open {
+		if r.running {
+			booked += r.kb * o.Rules.RunFactor
+		} else if now > r.arrived+bookedFrom && o.owed(r) {
+			booked += r.kb
+		}
+	}
+	if booked > o.Rules.MemoryKB {
+		o.report("fall-over", s, nil, "memory: %.0f kB are booked of %.0f", booked, o.Rules.MemoryKB)
+		s.ended = true
+	}
+}
+
+// judgeCrowd judges that what runs on the cores stays within its bound, on average.
+func (o *Observer) judgeCrowd(s *server, now micro.Time) {
+	from := now - o.Rules.FallOver
+	if s.born > from {
+		return
+	}
+	sum, n, at := 0.0, 0, from
+	drop := 0
+	for i, m := range s.marks {
+		if m.at <= from {
+			n, drop = m.n, i
+			continue
+		}
+		sum += float64(n) * float64(m.at-at)
+		n, at = m.n, m.at
+	}
+	sum += float64(n) * float64(now-at)
+	s.marks = s.marks[drop:]
+	share := min(1, o.Rules.ColdFrom+(1-o.Rules.ColdFrom)*float64(now-s.born)/float64(o.Rules.Ramp))
+	if s.life == 1 {
+		share = 1
+	}
+	most := float64(o.Rules.Cores) * (1 + (o.Rules.Fall-1)*share)
+	if mean := sum / float64(o.Rules.FallOver); mean > most {
+		o.report("fall-over", s, nil, "crowd: %.1f run on average, over %.1f", mean, most)
+		s.ended = true
+	}
+}
