--- a/internal/virtual/net.go
+++ b/internal/virtual/net.go
@@ -47,7 +47,7 @@
 	Arrived                  // Bytes have reached Node's machine
 	Ended                    // Node has no more of the connection; Why tells
 	Packet                   // a datagram with Bytes has reached Node
-	Halved                   // Node sends no more, and still reads
+	Halved                   // Node sends no more, and still reads; Why tells
 	Tried                    // Node tries to connect to Addr
 )
 
@@ -78,9 +78,11 @@
 
 // Net joins nodes.
 type Net struct {
-	w         *World
-	Default   Quality
-	Tap       func(Event) // nil: none
+	w       *World
+	Default Quality
+	Tap     func(Event) // nil: none
+	// Mangle, where a test sets it, changes what an end writes before anything sees it: a saboteur between a program and the network.
+	Mangle    func(e *End, p []byte) []byte
 	nodes     map[string]*Node
 	paths     map[[2]string]*Path
 	listeners map[string]*Listener
@@ -236,6 +238,9 @@
 // Conn numbers the connection; both ends have the same.
 func (e *End) Conn() uint64 { return e.conn }
 
+// Node names its own node.
+func (e *End) Node() string { return e.node.Name }
+
 // Peer names the other node.
 func (e *End) Peer() string { return e.peer.node.Name }
 
@@ -369,6 +374,9 @@
 
 // Write hands p to the network. What the peer does not take yet is kept.
 func (e *End) Write(p []byte) {
+	if e.node.net.Mangle != nil {
+		p = e.node.net.Mangle(e, p)
+	}
 	if !e.open || e.fin || len(p) == 0 {
 		return
 	}
@@ -515,11 +523,16 @@
 // Close ends the stream from this side. Where something has arrived unread, that is a reset, as with TCP.
 func (e *End) Close() { e.finish(ByItself) }
 
-// CloseWrite sends the end of the stream, and goes on reading.
-func (e *End) CloseWrite() {
+// CloseWrite sends the end of the stream, and goes on reading. CutWrite is the same as a fault of the network.
+func (e *End) CloseWrite() { e.halve(ByItself) }
+
+// CutWrite has the network end the stream from this end, which goes on reading and knows nothing of it.
+func (e *End) CutWrite() { e.halve(ByCut) }
+
+func (e *End) halve(why Why) {
 	if e.open && !e.fin {
 		e.fin = true
-		e.node.net.tap(e, Event{Kind: Halved})
+		e.node.net.tap(e, Event{Kind: Halved, Why: why})
 		if len(e.unsent) == 0 {
 			e.send(segment{fin: true})
 		}
