--- a/internal/procs/caller.go
+++ b/internal/procs/caller.go
@@ -96,7 +96,11 @@
 }
 
 // Asked is a request that was sent.
-type Asked struct{ w chan thrift.Reply }
+type Asked struct {
+	ID  string
+	seq int32
+	w   chan thrift.Reply
+}
 
 // Answer waits for the answer.
 func (a Asked) Answer() (thrift.Reply, error) {
@@ -122,7 +126,8 @@
 }
 
 func (k *Conn) ask(class, once, body string, at time.Time, retry bool) (Asked, error) {
-	fields := []thrift.Field{{Name: "class", Value: class}, {Name: "id", Value: fmt.Sprintf("%016x", ids.Add(1))},
+	id := fmt.Sprintf("%016x", ids.Add(1))
+	fields := []thrift.Field{{Name: "class", Value: class}, {Name: "id", Value: id},
 		{Name: "at", Value: fmt.Sprint(at.UnixMilli())}, {Name: "from", Value: "1"}, {Name: "tenant", Value: "lake-vines"},
 		{Name: "kb", Value: "9"}, {Name: "rank", Value: "0.9"}}
 	if once != "" {
@@ -143,11 +148,25 @@
 		delete(k.waiting, k.seq)
 		return Asked{}, ErrUnheard
 	}
-	return Asked{w}, nil
+	return Asked{id, k.seq, w}, nil
+}
+
+// GiveUp says that a request's answer is not waited for any more.
+func (k *Conn) GiveUp(a Asked) error {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	delete(k.waiting, a.seq)
+	_, err := k.c.Write(thrift.AppendGiveUp(nil, a.seq))
+	return err
 }
 
 // Probe is a health check on a connection of its own.
-func Probe(addr string) (good bool, err error) {
+func Probe(addr string) (good bool, err error) { return probe(addr, false) }
+
+// ProbeDeep is one that asks whether work gets done.
+func ProbeDeep(addr string) (good bool, err error) { return probe(addr, true) }
+
+func probe(addr string, deep bool) (good bool, err error) {
 	k, err := Dial(addr)
 	if err != nil {
 		return false, err
@@ -156,11 +175,11 @@
 	k.mu.Lock()
 	w := make(chan thrift.Reply, 1)
 	k.waiting[1] = w
-	_, err = k.c.Write(thrift.AppendProbe(nil, 1, false))
+	_, err = k.c.Write(thrift.AppendProbe(nil, 1, deep))
 	k.mu.Unlock()
 	if err != nil {
 		return false, err
 	}
-	p, err := Asked{w}.Answer()
+	p, err := Asked{w: w}.Answer()
 	return p.Good, err
 }
--- a/internal/procs/procs.go
+++ b/internal/procs/procs.go
@@ -15,6 +15,7 @@
 	"os/exec"
 	"path/filepath"
 	"runtime"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -47,6 +48,7 @@
 	Name     string // "": n0
 	Store    string // the file that names a store of record; "": none
 	Copies   string // the file that names a group that holds copies; "": none
+	Vault    string // its address, for settings with calls; "": none
 	Ledger   *Ledger
 	mu       sync.Mutex
 	all      []*Process
@@ -117,6 +119,9 @@
 	}
 	cfg := map[string]any{"name": name, "listen": s.Listen, "pool": pool.Addr(), "admin": admin, "stop_ms": s.StopMS, "seed": "8c1f30d27a5be964",
 		"limits": map[string]any{"cores": 1.0, "memory_mb": s.MemoryMB, "sockets": 512}, "settings": s.Settings}
+	if s.Vault != "" {
+		cfg["vault"] = s.Vault
+	}
 	if change != nil {
 		change(cfg)
 	}
@@ -143,6 +148,27 @@
 	return p, nil
 }
 
+// WithCalls are settings under which requests of some classes call the vault.
+func WithCalls(settings json.RawMessage, classes ...string) (json.RawMessage, error) {
+	var set map[string]any
+	if err := json.Unmarshal(settings, &set); err != nil {
+		return nil, fmt.Errorf("procs: settings: %w", err)
+	}
+	all, _ := set["classes"].([]any)
+	calls := make([]bool, len(all))
+	for i, c := range all {
+		class, _ := c.(map[string]any)
+		name, _ := class["name"].(string)
+		calls[i] = slices.Contains(classes, name)
+	}
+	extra, _ := set["extra"].(map[string]any)
+	if extra == nil {
+		return nil, errors.New("procs: settings: no extra")
+	}
+	extra["downstream"], extra["class_calls"] = "tier", calls
+	return json.Marshal(set)
+}
+
 // Rewrite writes the configuration file anew.
 func (p *Process) Rewrite(cfg any) error {
 	text, err := json.Marshal(cfg)
