--- /dev/null
+++ b/cmd/pewterline/calls_test.go
@@ -0,0 +1,90 @@
+package main
+
+import (
+	"strings"
+	"syscall"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"pewterline/internal/procs"
+	"pewterline/internal/protocol/thrift"
+)
+
+// newCallingTwin is one whose intakes call the vault.
+func newCallingTwin(t *testing.T) (*twin, *procs.Vault) {
+	w := newTwin(t)
+	v, err := procs.NewVault()
+	require.NoError(t, err)
+	t.Cleanup(v.Close)
+	w.Settings, err = procs.WithCalls(w.Settings, "lot-intake")
+	require.NoError(t, err)
+	w.Vault = v.Addr()
+	return w, v
+}
+
+// startCalling starts a process whose intakes call once.
+func (w *twin) startCalling() *procs.Process {
+	p := w.start()
+	p.Pool.Calling("lot-intake", 1)
+	return p
+}
+
+// called is the next call, which has to be of a body.
+func called(t *testing.T, v *procs.Vault, of string) *procs.Call {
+	t.Helper()
+	c, err := v.Asked()
+	require.NoError(t, err)
+	require.Equal(t, procs.CallBody(1, of), c.Body)
+	return c
+}
+
+// Guards an intake whose run waits for its call while another process takes over: the old process brings the call to its end, and
+// its repeat at the new one gets the result. The call is made once.
+func TestUpgradeWhileBlocked(t *testing.T) {
+	t.Parallel()
+	w, v := newCallingTwin(t)
+	old := w.startCalling()
+	v.Hold()
+	blocked := w.ask(w.dial(), "lot-intake", "k1", "one")
+	called(t, v, "one")
+	next := w.startCalling()
+	require.NoError(t, old.Signal(syscall.SIGTERM))
+	require.Eventually(t, func() bool { return strings.Contains(next.Log(), "has handed over") }, procs.Patience, procs.Patience/1e4)
+	d := w.dial()
+	again, fresh := w.ask(d, "lot-intake", "k1", "one"), w.ask(d, "lot-intake", "k2", "two")
+	called(t, v, "two")
+	v.Release()
+	w.served(blocked, "one got kept call 1 of one")
+	w.served(again, "one got kept call 1 of one")
+	w.served(fresh, "two got kept call 1 of two")
+	require.NoError(t, old.Wait(), old.Log())
+	require.Len(t, v.Calls(), 2)
+	w.once()
+}
+
+// Guards what was read against the end of the process while runs are blocked, at a vault that never answers: the notice to leave
+// has all of it answered, and the process ends of itself before it would be stopped.
+func TestLeaveWithRunsBlocked(t *testing.T) {
+	t.Parallel()
+	w, v := newCallingTwin(t)
+	p := w.startCalling()
+	v.Hold()
+	c := w.dial()
+	var open []procs.Asked
+	for _, once := range []string{"one", "two", "three"} {
+		open = append(open, w.ask(c, "lot-intake", once, once))
+		called(t, v, once)
+	}
+	require.NoError(t, p.Signal(syscall.SIGTERM))
+	for _, a := range open {
+		r, err := a.Answer()
+		require.NoError(t, err)
+		require.Equal(t, thrift.Broken, r.Kind)
+	}
+	c.Close()
+	require.NoError(t, p.Wait(), p.Log())
+	require.Len(t, v.Calls(), len(open))
+	require.Empty(t, p.Pool.Strays())
+	w.once()
+}
--- a/internal/procs/pool.go
+++ b/internal/procs/pool.go
@@ -76,7 +76,8 @@
 	notices  [][]byte
 	hold     bool
 	frozen   bool
-	checkEnd pool.End
+	checkEnd pool.End // of deep health checks; 0: they get no answer
+	checks   int
 	calls    map[string]int      // that a run makes, by class
 	runs     map[string]*poolRun // that have not ended, by ID
 	over     map[string]bool     // requests that wait for no answer any more, by ID
@@ -94,6 +95,7 @@
 	body       string
 	calls      int // made so far
 	callsLeft  int
+	held       bool // waits for Release
 	blocked    bool // at a call
 }
 
@@ -129,7 +131,7 @@
 // Close ends it.
 func (p *Pool) Close() { _ = p.ln.Close() }
 
-// Hold has runs wait from now on, until Release; those that call make their calls before.
+// Hold has runs wait from now on as they begin, until Release.
 func (p *Pool) Hold() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -160,13 +162,20 @@
 	p.frozen = true
 }
 
-// Checked sets how deep health checks end from now on.
+// Checked sets how deep health checks end from now on; 0: they get no answer.
 func (p *Pool) Checked(end pool.End) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.checkEnd = end
 }
 
+// Checks counts the deep health checks that were asked for.
+func (p *Pool) Checks() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.checks
+}
+
 // Leave breaks the link, and leaves those to come unbound until Return.
 func (p *Pool) Leave() {
 	p.mu.Lock()
@@ -208,14 +217,14 @@
 	}
 }
 
-// Release ends all runs that wait, but not those at a call; and those to come at once.
+// Release has all runs that wait go on, and those to come not wait.
 func (p *Pool) Release() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.hold = false
 	for _, r := range p.runs {
-		if !r.blocked {
-			p.end(r, pool.Pass)
+		if r.held {
+			p.advance(r)
 		}
 	}
 }
@@ -278,7 +287,7 @@
 
 // advance takes a run to its next call, or to its end.
 func (p *Pool) advance(r *poolRun) {
-	r.blocked = false
+	r.held, r.blocked = false, false
 	switch {
 	case r.callsLeft > 0 && p.over[r.id]:
 		p.end(r, pool.Killed)
@@ -287,7 +296,6 @@
 		r.calls++
 		r.blocked = true
 		p.tell(pool.AppendBlocked(nil, p.nextNotice(), r.id, []byte(CallBody(r.calls, r.body))))
-	case p.hold:
 	case p.took > 0:
 		go p.later(r)
 	default:
@@ -329,7 +337,9 @@
 		r.result += " as " + k.ID
 	}
 	p.runs[k.ID] = r
-	p.advance(r)
+	if r.held = p.hold; !r.held {
+		p.advance(r)
+	}
 }
 
 func (p *Pool) supply(k pool.Command) {
@@ -369,7 +379,9 @@
 	case pool.Poll:
 		_, _ = fmt.Fprintf(c, "polled %s 0.1 0 0.1 1\r\n", k.Tag)
 	case pool.Verify:
-		_, _ = c.Write(pool.AppendVerified(nil, k.Tag, p.checkEnd))
+		if p.checks++; p.checkEnd != 0 {
+			_, _ = c.Write(pool.AppendVerified(nil, k.Tag, p.checkEnd))
+		}
 	case pool.Spawn:
 		p.spawn(k)
 	case pool.Suspend:
