--- a/internal/lab/calls_test.go
+++ b/internal/lab/calls_test.go
@@ -39,3 +39,17 @@
 		require.Positive(t, n, "%q did not come about", want)
 	}
 }
+
+// The hard cases of calls, each with the situations that make it hard.
+func TestHardCalls(t *testing.T) {
+	for name, situations := range map[string][]string{
+		"vault-dies":       {"vault link down open2 why1", "vault link down open2 why3", "ended 3 answeredfalse gaveuptrue"},
+		"vault-moves":      {"at hup open3 run2", "bound anew run2", "vault link down open0 why0"},
+		"vault-drain":      {"at term open3 run2", "call given up drain1", "call given up drain2", "ended 3 answeredtrue"},
+		"vault-give-up":    {"reply crosses unask", "supply for a run that has ended", "ended 3 answeredfalse gaveuptrue"},
+		"vault-pool-cut":   {"bound anew run2", "link broke inside a notice", "supply for a run that has ended"},
+		"vault-pool-hangs": {"deep check bad", "deep check good", "bound anew run2"},
+	} {
+		t.Run(name, func(t *testing.T) { hard(t, name, nil, situations...) })
+	}
+}
