Test calls in the core, and keep a request without one as small as before

Tests of the core: where replies go, calls of requests that are over, withheld calls for each effect and outcome, and the free value's meaning.

--- a/internal/routing/calls.go
+++ b/internal/routing/calls.go
@@ -71,10 +71,13 @@
 	}
 	was := r.state
 	c.giveUpCall(r)
-	r.state, r.call.body = blocked, body
+	r.state = blocked
+	if r.call == nil { // else the run has had no reply, and cannot have gone on: what became of its call before still counts
+		r.call = &call{}
+	}
+	r.call.body = body
 	switch was {
-	case running: // else the run has had no reply, and cannot have gone on: what became of its call before still counts
-		r.call = call{body: body}
+	case running:
 		c.events = append(c.events, control.CallNeeded{ID: r.id})
 	case calling:
 		c.events = append(c.events, control.CallDone{ID: r.id, Outcome: calls.Broken.ForModule()})
@@ -128,7 +131,7 @@
 
 // resume hands a run the reply to its call.
 func (c *Core) resume(r *request, reply []byte) {
-	r.state, r.call = running, call{}
+	r.state, r.call = running, nil
 	if runner, ok := c.runner.(CallingRunner); ok {
 		runner.Supply(r.RunID, reply)
 	}
--- /dev/null
+++ b/internal/routing/calls_test.go
@@ -0,0 +1,163 @@
+package routing
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"pewterline/control"
+	"pewterline/internal/decide/calls"
+	"pewterline/internal/micro"
+)
+
+// caller is a core whose runs call; the test plays the runner and the vault. The classes are numbered by their effect.
+type caller struct {
+	*bench
+	did []string // what the core had the vault and the runner do
+}
+
+func (c *caller) Ask(k Call) {
+	c.did = append(c.did, fmt.Sprintf("ask %s %s %v", k.ID, k.Body, k.Repeatable))
+}
+func (c *caller) GiveUp(id string) { c.did = append(c.did, "give up "+id) }
+func (c *caller) Supply(id string, r []byte) {
+	c.did = append(c.did, fmt.Sprintf("supply %s %s", id, r))
+}
+
+func callingSettings() control.Settings {
+	s := control.Settings{Cores: 2, Below: control.BelowTier, Classes: []control.Class{
+		{Name: "view", Aim: time.Second, Deadline: 4 * time.Second, Worth: 1, Calls: true},
+		{Name: "intake", Aim: time.Second, Deadline: 4 * time.Second, Worth: 10, Effect: control.Keyed, Window: 13 * time.Second, Calls: true},
+		{Name: "order", Aim: time.Second, Deadline: 4 * time.Second, Worth: 10, Effect: control.Unsafe, Calls: true},
+	}}
+	return s
+}
+
+func newCaller(t *testing.T) *caller {
+	c := &caller{bench: &bench{t: t, now: 100 * micro.Second}}
+	var err error
+	c.core, err = New(callingSettings(), c, t.Logf)
+	require.NoError(t, err)
+	c.core.UseCallee(c)
+	return c
+}
+
+// blocked has a request of a class run and come to its call.
+func (c *caller) blocked(class int) (*reply, string, control.ID) {
+	c.n++
+	r, id := &reply{}, string(rune('a'+c.n))
+	key, err := c.core.Submit(c.now, Request{RunID: id, Class: class, Once: id, At: c.now, HeldKB: 1, Reply: r})
+	require.NoError(c.t, err)
+	c.step()
+	c.core.Blocked(id, []byte("call"))
+	c.step()
+	return r, id, key
+}
+
+func (c *caller) step() {
+	c.now += 20 * micro.Millisecond
+	c.core.Step(c.now)
+}
+
+// does is what the core did since the last time.
+func (c *caller) does() []string {
+	did := c.did
+	c.did = nil
+	return did
+}
+
+// A reply goes to the run that waits for it, once; whatever else comes for a call that is over goes nowhere.
+func TestReplyGoesToItsRun(t *testing.T) {
+	c := newCaller(t)
+	got, id, _ := c.blocked(0)
+	require.Equal(t, []string{"ask " + id + " call true"}, c.does())
+	c.core.CallEnded(c.now, id, calls.Answered, []byte("reply"))
+	c.core.CallEnded(c.now, id, calls.Answered, []byte("twice"))
+	c.core.CallEnded(c.now, "zz", calls.Answered, []byte("nobody's"))
+	require.Equal(t, []string{"supply " + id + " reply"}, c.does())
+	c.core.Finished(id, Passed, []byte("done"))
+	require.Equal(t, []Answer{{Status: Served, Result: []byte("done")}}, got.got)
+}
+
+// A call in hand is given up as soon as its request is over, however it ends; a late reply is dropped, and the run's own end is
+// the end.
+func TestCallOfARequestThatIsOver(t *testing.T) {
+	for name, over := range map[string]func(c *caller, key control.ID){
+		"caller left":  func(c *caller, key control.ID) { c.core.GiveUp(key) },
+		"due":          func(c *caller, _ control.ID) { c.now += 4 * micro.Second },
+		"process ends": func(c *caller, _ control.ID) { c.core.EndAll() },
+		"drain": func(c *caller, _ control.ID) {
+			c.core.Drain(c.now, c.now, c.now+micro.Second)
+			c.now += micro.Second
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newCaller(t)
+			_, id, key := c.blocked(2)
+			c.does()
+			over(c, key)
+			c.step()
+			require.Equal(t, []string{"give up " + id}, c.does())
+			c.core.CallEnded(c.now, id, calls.Answered, []byte("late"))
+			c.step()
+			c.core.Finished(id, Stopped, nil)
+			require.Empty(t, c.does())
+			require.Zero(t, c.core.Open())
+			require.Empty(t, c.core.runs)
+		})
+	}
+}
+
+// Guards effects against decisions that are wrong and pools that tell twice: a call that may have run is not made again for a
+// request that may run once, though the module asks for it.
+func TestCoreWithholdsACallThatMayHaveRun(t *testing.T) {
+	for class, repeatable := range []bool{true, false, false} {
+		for outcome := calls.TurnedAway; outcome <= calls.NotSent; outcome++ {
+			c := newCaller(t)
+			got, id, key := c.blocked(class)
+			c.core.CallEnded(c.now, id, outcome, nil)
+			c.core.Blocked(id, []byte("call")) // told again, with no reply between
+			c.does()
+			c.core.makeCall(c.core.live[key], micro.Second)
+			if repeatable || outcome.Proves() == calls.NeverRan {
+				require.Equal(t, []string{fmt.Sprintf("ask %s call %v", id, repeatable)}, c.does(), "class %d, outcome %d", class, outcome)
+				continue
+			}
+			require.Empty(t, c.does(), "class %d, outcome %d", class, outcome)
+			require.Equal(t, Failed, got.got[0].Status)
+		}
+	}
+}
+
+// A run that tells of a call while another is in hand cannot wait for both: the first is given up, and may have run.
+func TestBlockedWhileCalling(t *testing.T) {
+	c := newCaller(t)
+	got, id, _ := c.blocked(2)
+	c.core.Blocked(id, []byte("other"))
+	c.step()
+	require.Equal(t, []string{"ask " + id + " call false", "give up " + id}, c.does())
+	require.Equal(t, Failed, got.got[0].Status)
+}
+
+// A free value is not told under another meaning than it was set for, nor one that was never set.
+func TestFreeValueKeepsItsMeaning(t *testing.T) {
+	c := newCaller(t)
+	allowance := callingSettings()
+	allowance.Signal = control.SignalAllowance
+	c.core.Learn(control.Learned{})
+	c.core.Begin(c.now, 0, false)
+	c.core.say, c.core.saying = 0.35, true
+	_, err := c.core.Retune(allowance, func(int) bool { return false })
+	require.NoError(t, err)
+	_, says := c.core.Say()
+	require.False(t, says)
+
+	next, err := New(allowance, c, t.Logf)
+	require.NoError(t, err)
+	next.Learn(control.Learned{})
+	next.Begin(c.now, 0, false)
+	_, says = next.Say()
+	require.False(t, says, "0 would have callers send nothing")
+}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -114,7 +114,7 @@
 	answered bool // its caller has the answer, or has left
 	saving   bool // its run has ended, and the result is on its way to the store of record
 	key      *onceEntry
-	call     call // while blocked or calling
+	call     *call // while blocked or calling
 }
 
 // Core carries requests between fronts, the decision module and a runner.
@@ -482,7 +482,7 @@
 		return
 	}
 	c.giveUpCall(r)
-	r.state = running
+	r.state, r.call = running, nil
 	k := r.key
 	switch {
 	case k == nil || k.runner != r.id:
