--- /dev/null
+++ b/internal/edge/listed_test.go
@@ -0,0 +1,31 @@
+package edge
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"pewterline/internal/micro"
+)
+
+// Where the list of servers tells only whether one runs or drains, a server whose runs fail stays on it, until it drains; where
+// the list follows health, it goes off. Health checks tell of it either way.
+func TestListThatIgnoresHealth(t *testing.T) {
+	for _, ignores := range []bool{false, true} {
+		l := newLinked(t)
+		l.srv.cfg.Settings.ListIgnoresHealth = ignores
+		for n := range 8 {
+			id := fmt.Sprintf("%016x", n+1)
+			require.Contains(t, l.ask(id, "block-view", ""), "spawn "+id)
+			l.tell(fmt.Sprintf("finished %d %s FAIL 10 0\r\n\r\n", n+1, id))
+		}
+		l.advance(l.now + micro.Second)
+		require.False(t, l.srv.healthy())
+		require.True(t, strings.HasSuffix(l.report, map[bool]string{false: " NotReady", true: " Ready"}[ignores]), l.report)
+		l.srv.Drain(l.now)
+		l.advance(l.now + micro.Second)
+		require.True(t, strings.HasSuffix(l.report, " NotReady"), l.report)
+	}
+}
