Make the tests of calls hold still: turns at moved clocks, a refused dial that is seen

Cause: a turn that was under way when the test's clock moved judged new connections by its old time; a refused connection was met only by chance; and calls that must not be made again had no time to be. Deep checks count a run that ended well as proof since, so that the test's pool has to do none.

Change: later() returns in a turn of the new time; the test of refused calls waits until the vault's client has found nobody there; noMoreCalls() moves the clock past every pause before it looks.

--- a/internal/edge/calls_test.go
+++ b/internal/edge/calls_test.go
@@ -146,20 +146,28 @@
 	require.Equal(h.t, id, got)
 }
 
-// run lets the clock run, by a step at a time, until it is stopped.
+// later moves the clock and returns in a turn of that time.
+func (h *callHouse) later(by micro.Time) {
+	h.pass(by)
+	h.do(func() {})
+}
+
+// run lets the clock run until it is stopped, by a step in each turn of the loop.
 func (h *callHouse) run() (stop func()) {
 	quit, done := make(chan struct{}), make(chan struct{})
 	go func() {
 		defer close(done)
 		for {
+			h.pass(10 * micro.Millisecond)
+			turned := make(chan struct{})
+			if h.loop.Execute(func() { close(turned) }) != nil {
+				return
+			}
 			select {
 			case <-quit:
 				return
-			case <-time.After(time.Millisecond):
-				h.pass(10 * micro.Millisecond)
-				if h.loop.Execute(func() {}) != nil {
-					return
-				}
+			case <-turned:
+				time.Sleep(time.Millisecond) // the others' share of the machine
 			}
 		}
 	}()
@@ -169,6 +177,16 @@
 	})
 }
 
+// noMoreCalls asks that what could be called again in a while is not: the next call is that of a request that comes then.
+func (h *callHouse) noMoreCalls() {
+	h.t.Helper()
+	h.later(micro.Second)
+	h.comes()
+	last := h.request(safeClass)
+	h.called(last)
+	h.served(last, "kept call 1 of lot")
+}
+
 // over ends the server. Every reply has gone to the run that waited for it.
 func (h *callHouse) over() {
 	h.t.Helper()
@@ -213,6 +231,7 @@
 	h.called(safe)
 	h.served(safe, "kept call 1 of lot")
 	stop()
+	h.noMoreCalls()
 	require.Equal(t, []int{1, 1, 2}, []int{h.calls(single), h.calls(keyed), h.calls(safe)})
 	h.over()
 }
@@ -258,7 +277,7 @@
 	waiting := h.request(safeClass)
 	h.called(waiting).Reply(vault.NotNow, "")
 	h.do(func() { h.srv.Drain(h.Now()) })
-	h.pass(h.srv.cfg.Stop - stopLead - micro.Millisecond)
+	h.later(h.srv.cfg.Stop - stopLead - micro.Millisecond)
 	h.failed(inHand)
 	h.failed(waiting)
 	h.givenUp(inHand)
@@ -296,13 +315,12 @@
 	last := h.request(keyedClass) // read behind the notice
 	h.workers.Release()
 	h.vault.Release()
-	stop := h.run()
 	h.called(last)
 	h.served(last, "kept call 1 of lot")
-	stop()
+	require.Len(t, h.heard, 1)
+	h.noMoreCalls()
 	require.Equal(t, []int{1, 1, 0}, []int{h.calls(inHand), h.calls(again), h.calls(yet)})
 	h.over()
-	require.Len(t, h.heard, 1)
 }
 
 // Guards effects: a call of a request that may run once is made again only where the one before is proven not to have run.
@@ -320,11 +338,7 @@
 				end(h, h.called(id))
 				h.failed(id)
 				h.vault.Release()
-				stop := h.run()
-				next := h.request(safeClass)
-				h.called(next)
-				h.served(next, "kept call 1 of lot")
-				stop()
+				h.noMoreCalls()
 				require.Equal(t, 1, h.calls(id), class)
 			}
 			h.vault.Hold()
@@ -356,8 +370,9 @@
 			h.vault.Refuse()
 			h.vault.Break()
 			refused := h.request(class)
-			require.NoError(t, h.workers.Started("lot"))
-			require.NoError(t, h.workers.Started("lot"))
+			for reached := true; reached; {
+				h.do(func() { reached = h.srv.vault.Status().Reached })
+			}
 			require.NoError(t, h.vault.Accept())
 			h.called(refused)
 			h.served(refused, "kept call 1 of lot")
@@ -435,7 +450,7 @@
 	const stale = 2 * micro.Second // an outcome may answer the checks of a moment
 	checked := func(good bool) {
 		t.Helper()
-		h.pass(stale)
+		h.later(stale)
 		p := h.probe(true)
 		stop := h.run()
 		require.Equal(t, good, heard(p).Good)
@@ -447,7 +462,7 @@
 	checked(false)
 
 	h.workers.Checked(0)
-	h.pass(stale)
+	h.later(stale)
 	const checks = 40
 	before := h.workers.Checks()
 	var hang []*peer
@@ -455,15 +470,26 @@
 		hang = append(hang, h.probe(true))
 	}
 	require.True(t, heard(h.probe(false)).Good)
-	works()
+	h.workers.Hold()
+	h.comes()
+	meanwhile := h.request(safeClass)
+	require.NoError(t, h.workers.Started("lot")) // the first run
+	require.NoError(t, h.workers.Started("lot"))
 	stop := h.run()
 	for _, p := range hang {
 		require.False(t, heard(p).Good)
 		require.NoError(t, p.c.Close())
 	}
-	stop()
 	require.Less(t, h.workers.Checks()-before, checks)
 
+	h.workers.Release()
+	h.served(meanwhile, "kept call 1 of lot")
+	for good := false; !good; { // the module may have taken the pool for hung
+		p := h.probe(false)
+		good = heard(p).Good
+		require.NoError(t, p.c.Close())
+	}
+	stop()
 	h.workers.Checked(pool.Pass)
 	checked(true)
 	h.workers.Freeze()
