Decide over the vault's links without I/O, in internal/decide/calls

internal/vaultlink held the choice of links, silence, retirement and time-outs beside its connections. They are calls.Dispatcher now, a state machine whose host carries out its actions, as the design asks of decisions; vaultlink keeps the connections.

--- a/internal/routing/calls.go
+++ b/internal/routing/calls.go
@@ -12,19 +12,11 @@
 // another Ask with that id comes first; none of them is called before Ask or GiveUp returns.
 type Callee interface {
 	// Ask makes a call. Its body is not changed.
-	Ask(Call)
+	Ask(calls.Request)
 	// GiveUp ends the wait for a call; its effect is not known.
 	GiveUp(id string)
 }
 
-// Call is one call that a run waits for.
-type Call struct {
-	ID         string // of the try, as the runner has it
-	Wait       micro.Time
-	Repeatable bool // it may be made again whatever became of it
-	Body       []byte
-}
-
 // CallingRunner is a Runner whose runs may wait for calls: it tells so by Core.Blocked.
 type CallingRunner interface {
 	Runner
@@ -102,7 +94,7 @@
 	}
 	r.state, r.call.asked = calling, c.now
 	repeatable := calls.MayRepeat(class.Effect, calls.GivenUp)
-	c.callee.Ask(Call{ID: r.RunID, Wait: wait, Repeatable: repeatable, Body: r.call.body})
+	c.callee.Ask(calls.Request{ID: r.RunID, Wait: wait, Repeatable: repeatable, Body: r.call.body})
 }
 
 // skipCall lets a run go on without its call. The worker pool has no word for it: an empty reply has the run go on.
--- a/internal/routing/calls_test.go
+++ b/internal/routing/calls_test.go
@@ -18,7 +18,7 @@
 	did []string // what the core had the vault and the runner do
 }
 
-func (c *caller) Ask(k Call) {
+func (c *caller) Ask(k calls.Request) {
 	c.did = append(c.did, fmt.Sprintf("ask %s %s %v", k.ID, k.Body, k.Repeatable))
 }
 func (c *caller) GiveUp(id string) { c.did = append(c.did, "give up "+id) }
--- a/internal/vaultlink/client.go
+++ b/internal/vaultlink/client.go
@@ -1,34 +1,14 @@
-// Package vaultlink makes calls to the vault over a few shared links on the event loop. Each call ends once: by its reply, by its
-// time, by the end of its link, or by being given up. A link that has fallen silent gets no new calls while another can be had.
+// Package vaultlink is the client of the vault: it carries out on the event loop what calls.Dispatcher decides.
 package vaultlink
 
 import (
-	"slices"
-
 	"pewterline/internal/decide/calls"
 	"pewterline/internal/micro"
-	"pewterline/internal/routing"
 	"pewterline/internal/transport"
 )
 
-// The bounds of a client.
-const (
-	// MaxLinks bounds the links for new calls.
-	MaxLinks = 4
-	// maxRetired bounds the links that only finish what they have in hand.
-	maxRetired = 4
-	// MaxConns bounds all links, the one that is being dialled included.
-	MaxConns = MaxLinks + maxRetired + 1
-	// callsPerLink is how many calls share a link before another one is opened.
-	callsPerLink = 32
-	// maxCalls bounds the calls in hand over all links. One more ends at once, and was not sent.
-	maxCalls = 1024
-	// givenUpPerLink bounds the ids that a link remembers as given up; then it is retired.
-	givenUpPerLink = 256
-	// idleTimeout is how long a link is kept without a call. The vault closes one after 10 s, and a call that crosses that close
-	// would be lost.
-	idleTimeout = 5 * micro.Second
-)
+// MaxConns bounds the descriptors of a client.
+const MaxConns = calls.MaxConns
 
 // Loop is what the client needs of the event loop.
 type Loop interface {
@@ -42,43 +22,20 @@
 
 // Client makes calls. All its methods are called on the loop. Ended is only called by Check.
 type Client struct {
-	address string
-	loop    Loop
-	ended   Ended
-	logf    func(format string, args ...any)
-
-	calls     map[string]*call // in hand, by the request's id
-	order     []*call          // the same, oldest first; those that are over are taken out by Check
-	waiting   []*call          // for a link that is being dialled, oldest first
-	links     []*link
-	drop      func() // gives up the link that is being dialled; nil while none is
-	results   []result
-	nextDue   micro.Time
-	reached   bool // the last attempt to open a link did not fail
-	replyTime replyTime
-}
-
-// call is one call in hand.
-type call struct {
-	id         string
-	body       []byte
-	due        micro.Time
-	sent       micro.Time
-	repeatable bool  // it may be made again whatever became of it
-	link       *link // nil: it has not been sent
-	over       bool
-}
-
-// result is how a call ended, until Check tells it.
-type result struct {
-	id      string
-	outcome calls.Outcome
-	reply   []byte
+	address  string
+	loop     Loop
+	ended    Ended
+	logf     func(format string, args ...any)
+	dispatch *calls.Dispatcher
+	links    map[calls.LinkID]*link
+	drop     func() // gives up the link that is being dialled
+	results  []calls.End
+	reached  bool // the last attempt to open a link did not fail
 }
 
 // New returns a client without a link: one is opened for the first call. Attach must follow.
 func New(address string, logf func(format string, args ...any)) *Client {
-	return &Client{address: address, logf: logf, calls: map[string]*call{}, nextDue: micro.Never, reached: true}
+	return &Client{address: address, logf: logf, dispatch: calls.NewDispatcher(), links: map[calls.LinkID]*link{}, reached: true}
 }
 
 // Attach ties the client to its loop and to whoever makes the calls.
@@ -94,187 +51,53 @@
 
 // Status tells how the client stands.
 func (c *Client) Status() Status {
-	return Status{Reached: c.reached, Links: len(c.links), Calls: len(c.calls), Waiting: len(c.waiting)}
+	links, inHand, waiting := c.dispatch.Counts()
+	return Status{Reached: c.reached, Links: links, Calls: inHand, Waiting: waiting}
 }
 
 // Ask is part of routing.Callee.
-func (c *Client) Ask(request routing.Call) {
-	c.GiveUp(request.ID)
-	if len(c.calls) >= maxCalls {
-		c.results = append(c.results, result{id: request.ID, outcome: calls.NotSent})
-		return
-	}
-	q := &call{id: request.ID, body: request.Body, due: c.loop.Now() + request.Wait, repeatable: request.Repeatable}
-	c.calls[q.id] = q
-	c.order = append(c.order, q)
-	c.nextDue = min(c.nextDue, q.due)
-	c.place(q)
-}
-
-// place sends a call on a link, or has it wait for one that is being dialled.
-func (c *Client) place(q *call) {
-	best, serving := c.bestLink(q.id)
-	full := serving >= MaxLinks
-	switch {
-	case best != nil && (!best.suspect || full):
-		best.send(q, c.loop.Now())
-		if best.load() >= callsPerLink && !full {
-			c.dial() // for those to come
-		}
-	case !full, c.retireOldest(): // no link may carry this id again: one makes room for a fresh one
-		c.waiting = append(c.waiting, q)
-		c.dial()
-	default:
-		c.finish(q, calls.NotSent, nil)
-	}
-}
-
-// bestLink is the link with the fewest calls of those that may carry an id, a silent one only where there is no other; nil if
-// none may. serving counts the links that take calls.
-func (c *Client) bestLink(id string) (best *link, serving int) {
-	for _, l := range c.links {
-		if l.retired {
-			continue
-		}
-		serving++
-		if !l.givenUp[id] && (best == nil || l.betterThan(best)) {
-			best = l
-		}
-	}
-	return best, serving
+func (c *Client) Ask(request calls.Request) {
+	c.forgetResult(request.ID)
+	c.dispatch.Ask(c.loop.Now(), request)
+	c.carryOut()
 }
 
-// retireOldest retires the oldest link that takes calls, unless too many are retired already.
-func (c *Client) retireOldest() bool {
-	if c.retiredLinks() >= maxRetired {
-		return false
-	}
-	for _, l := range c.links {
-		if !l.retired {
-			l.retire()
-			return true
-		}
-	}
-	return false
+// GiveUp is part of routing.Callee.
+func (c *Client) GiveUp(id string) {
+	c.forgetResult(id)
+	c.dispatch.GiveUp(c.loop.Now(), id)
+	c.carryOut()
 }
 
-func (c *Client) retiredLinks() (count int) {
-	for _, l := range c.links {
-		if l.retired {
-			count++
+// forgetResult drops the end of a call that nobody waits for any more.
+func (c *Client) forgetResult(id string) {
+	left := c.results[:0]
+	for _, r := range c.results {
+		if r.ID != id {
+			left = append(left, r)
 		}
 	}
-	return count
-}
-
-// boundRetired closes the oldest of the links that were retired, with the calls in hand on it, where they have become too many.
-func (c *Client) boundRetired() {
-	if c.retiredLinks() <= maxRetired {
-		return
-	}
-	oldest := slices.IndexFunc(c.links, func(l *link) bool { return l.retired })
-	c.links[oldest].conn.Close()
-}
-
-// dial opens a link, unless one is being opened. One at a time: guards the descriptors against dials that hang.
-func (c *Client) dial() {
-	if c.drop == nil {
-		c.drop = c.loop.Try(c.address, c.opened, c.failed)
-	}
-}
-
-func (c *Client) opened(conn transport.Link) transport.Session {
-	c.drop = nil
-	if !c.reached {
-		c.logf("vault: %s is reached again", c.address)
-	}
-	c.reached = true
-	now := c.loop.Now()
-	l := &link{client: c, conn: conn, calls: map[string]*call{}, givenUp: map[string]bool{}, idleSince: now, heard: now}
-	c.links = append(c.links, l)
-	c.nextDue = min(c.nextDue, now+idleTimeout)
-	waiting := c.waiting
-	c.waiting = nil
-	for _, q := range waiting {
-		l.send(q, now)
-	}
-	return l
-}
-
-// failed ends the calls that wait for the link: none of them was sent.
-func (c *Client) failed() {
-	c.drop = nil
-	if c.reached {
-		c.logf("vault: %s is not reached, %d calls wait", c.address, len(c.waiting))
-	}
-	c.reached = false
-	waiting := c.waiting
-	c.waiting = nil
-	for _, q := range waiting {
-		c.finish(q, calls.Refused, nil)
-	}
-}
-
-// GiveUp is part of routing.Callee.
-func (c *Client) GiveUp(id string) {
-	c.results = slices.DeleteFunc(c.results, func(r result) bool { return r.id == id })
-	q := c.calls[id]
-	if q == nil {
-		return
-	}
-	c.remove(q)
-	if q.link != nil {
-		q.link.giveUp(q, c.loop.Now())
-	}
+	c.results = left
 }
 
-// Move has new calls go to another address. Those in hand end on the links that they were made on; those that have not been sent
-// go to the new one.
+// Move has new calls go to another address. Those in hand end on the links that they were made on.
 func (c *Client) Move(address string) {
 	if address == c.address {
 		return
 	}
 	c.address, c.reached = address, true
-	for _, l := range slices.Clone(c.links) {
-		l.retire()
-	}
-	if c.drop != nil {
-		c.drop()
-		c.drop = nil
-	}
-	if len(c.waiting) > 0 {
-		c.dial()
-	}
+	c.dispatch.Moved()
+	c.carryOut()
 }
 
-// finish notes how a call in hand ended.
-func (c *Client) finish(q *call, outcome calls.Outcome, reply []byte) {
-	if q.over {
-		return
-	}
-	c.remove(q)
-	c.results = append(c.results, result{q.id, outcome, reply})
-}
-
-// remove takes a call out of the client's hands.
-func (c *Client) remove(q *call) {
-	q.over = true
-	delete(c.calls, q.id)
-	if q.link == nil {
-		c.waiting = slices.DeleteFunc(c.waiting, func(w *call) bool { return w == q })
-	}
-}
-
-// Check ends what is due, looks for links that have fallen silent or idle, and tells how calls ended. It is called at the
-// beginning of a turn.
+// Check ends what is due, and tells how calls ended. It is called at the beginning of a turn.
 func (c *Client) Check(now micro.Time) {
-	if now >= c.nextDue {
-		c.expire(now)
-	}
+	c.dispatch.Expire(now)
+	c.carryOut()
 	results := c.results
 	c.results = nil
 	for _, r := range results {
-		c.ended(now, r.id, r.outcome, r.reply)
+		c.ended(now, r.ID, r.Outcome, r.Reply)
 	}
 }
 
@@ -283,30 +106,50 @@
 	if len(c.results) > 0 {
 		return c.loop.Now()
 	}
-	return c.nextDue
-}
-
-// expire gives up the calls whose time is over, and goes through the links.
-func (c *Client) expire(now micro.Time) {
-	c.order = slices.DeleteFunc(c.order, func(q *call) bool { return q.over })
-	c.nextDue = micro.Never
-	for _, q := range slices.Clone(c.order) {
-		if q.due > now {
-			c.nextDue = min(c.nextDue, q.due)
-		} else {
-			c.expireCall(q, now)
+	return c.dispatch.NextDue()
+}
+
+// carryOut does what the dispatcher has decided.
+func (c *Client) carryOut() {
+	for _, action := range c.dispatch.Actions() {
+		switch a := action.(type) {
+		case calls.Dial:
+			c.dial()
+		case calls.Redial:
+			c.drop()
+			c.dial()
+		case calls.Send:
+			c.links[a.Link].ask(a)
+		case calls.Unask:
+			c.links[a.Link].unask(a.ID)
+		case calls.Close:
+			c.links[a.Link].conn.Close()
+		case calls.End:
+			c.results = append(c.results, a)
+		case calls.Suspect:
+			c.logf("vault: a link with %d calls has been silent for %v", a.Calls, a.Silent.Duration())
 		}
 	}
-	for _, l := range slices.Clone(c.links) {
-		c.nextDue = min(c.nextDue, max(l.check(now), now+1))
+}
+
+func (c *Client) dial() { c.drop = c.loop.Try(c.address, c.opened, c.failed) }
+
+func (c *Client) opened(conn transport.Link) transport.Session {
+	if !c.reached {
+		c.logf("vault: %s is reached again", c.address)
 	}
+	c.reached = true
+	l := &link{client: c, conn: conn, id: c.dispatch.Opened(c.loop.Now())}
+	c.links[l.id] = l
+	c.carryOut()
+	return l
 }
 
-func (c *Client) expireCall(q *call, now micro.Time) {
-	if q.link == nil {
-		c.finish(q, calls.Refused, nil)
-		return
+func (c *Client) failed() {
+	if c.reached {
+		c.logf("vault: %s is not reached, %d calls wait", c.address, c.Status().Waiting)
 	}
-	c.finish(q, calls.GivenUp, nil)
-	q.link.giveUp(q, now)
+	c.reached = false
+	c.dispatch.DialFailed()
+	c.carryOut()
 }
--- a/internal/vaultlink/client_test.go
+++ b/internal/vaultlink/client_test.go
@@ -10,7 +10,6 @@
 	"pewterline/internal/decide/calls"
 	"pewterline/internal/micro"
 	"pewterline/internal/protocol/vault"
-	"pewterline/internal/routing"
 	"pewterline/internal/transport"
 )
 
@@ -61,7 +60,7 @@
 func id(n int) string { return fmt.Sprintf("%016d", n) }
 
 func (b *bench) ask(n int, wait micro.Time, repeatable bool) {
-	b.client.Ask(routing.Call{ID: id(n), Wait: wait, Repeatable: repeatable, Body: []byte("b")})
+	b.client.Ask(calls.Request{ID: id(n), Wait: wait, Repeatable: repeatable, Body: []byte("b")})
 }
 
 // opens opens the link that is being dialled.
@@ -150,7 +149,7 @@
 func TestCrossingReplyIsNotOfTheNextCall(t *testing.T) {
 	b := newBench(t)
 	var conns []*conn
-	for again := range 3 * MaxLinks {
+	for again := range 3 * calls.MaxLinks {
 		b.ask(1, second, true) // gives up the one before
 		conns = append(conns, b.opens())
 		require.Len(t, b.dials, again+1, "a link of its own")
@@ -195,7 +194,7 @@
 	b.ask(1, 3*second, true)
 	b.ask(2, 3*second, false)
 	silent := b.opens()
-	require.Empty(t, b.after(suspectFirst))
+	require.Empty(t, b.after(second/2))
 	b.ask(3, 3*second, true)
 	require.NotContains(t, silent.out, id(3))
 	other := b.opens()
@@ -214,14 +213,14 @@
 	var conns []*conn
 	for n := range 400 {
 		b.ask(n, 10*second, true)
-		if b.client.drop != nil {
+		if len(b.dials) > len(conns) {
 			conns = append(conns, b.opens())
 		}
 		require.Empty(t, b.after(20*micro.Millisecond))
 		require.LessOrEqual(t, b.client.Status().Links, MaxConns)
 	}
 	require.Equal(t, 400, b.client.Status().Calls)
-	require.Len(t, conns, MaxLinks+maxRetired)
+	require.Len(t, conns, MaxConns-1)
 	for _, c := range conns {
 		require.False(t, c.closed)
 	}
@@ -230,18 +229,18 @@
 // Calls and links are bounded: one call too many is not sent, and an idle link is closed before the vault would close it.
 func TestBounds(t *testing.T) {
 	b := newBench(t)
-	for n := range maxCalls + 1 {
+	for n := range calls.MaxCalls + 1 {
 		b.ask(n, 60*second, true)
 	}
 	c := b.opens()
-	require.Equal(t, []string{ended(maxCalls, calls.NotSent, "")}, b.after(0))
-	for n := range maxCalls {
+	require.Equal(t, []string{ended(calls.MaxCalls, calls.NotSent, "")}, b.after(0))
+	for n := range calls.MaxCalls {
 		b.tells(c, id(n)+" failed\r\n")
 	}
-	require.Len(t, b.after(0), maxCalls)
-	require.Empty(t, b.after(idleTimeout-1))
+	require.Len(t, b.after(0), calls.MaxCalls)
+	require.Empty(t, b.after(calls.IdleTimeout-1))
 	require.False(t, c.closed)
 	require.Empty(t, b.after(1))
 	require.True(t, c.closed)
-	require.Less(t, idleTimeout, 10*second)
+	require.Less(t, calls.IdleTimeout, 10*second)
 }
--- a/internal/vaultlink/link.go
+++ b/internal/vaultlink/link.go
@@ -1,27 +1,18 @@
 package vaultlink
 
 import (
-	"slices"
-
 	"pewterline/internal/decide/calls"
 	"pewterline/internal/micro"
 	"pewterline/internal/protocol/vault"
 	"pewterline/internal/transport"
 )
 
-// link is the session of one connection to the vault. Replies come in any order and name a request alone: an id that was given up
-// on a link is not asked for on it again, so that a reply that crosses the giving up is never taken for that of a later call.
+// link is the session of one connection to the vault.
 type link struct {
-	client    *Client
-	conn      transport.Link
-	calls     map[string]*call // in hand on it
-	givenUp   map[string]bool
-	idleSince micro.Time // of the last thing that happened to a call on it
-	heard     micro.Time // when something came last, or it was opened
-	suspect   bool       // it has been silent for longer than usual
-	retired   bool       // it takes no new calls, and is closed with the last one
-	closed    bool
-	out       []byte // scratch
+	client *Client
+	conn   transport.Link
+	id     calls.LinkID
+	out    []byte // scratch
 }
 
 var outcomes = map[vault.Status]calls.Outcome{
@@ -29,82 +20,24 @@
 	vault.Pointless: calls.Pointless,
 }
 
-func (l *link) load() int { return len(l.calls) }
-
-// betterThan prefers a link that is not silent, then the one with fewer calls.
-func (l *link) betterThan(o *link) bool {
-	if l.suspect != o.suspect {
-		return o.suspect
-	}
-	return l.load() < o.load()
-}
-
 func (l *link) write(p []byte) {
 	l.out = p[:0]
 	l.conn.Write(p)
 }
 
-// send makes a call. Its wait is what is left of it, in whole milliseconds, and at least one.
-func (l *link) send(q *call, now micro.Time) {
-	q.link, q.sent = l, now
-	l.calls[q.id] = q
-	l.idleSince = now
-	l.client.nextDue = min(l.client.nextDue, now+l.client.replyTime.suspectAfter(len(l.calls)))
-	wait := (q.due - now + micro.Millisecond - 1) / micro.Millisecond
-	l.write(vault.AppendAsk(l.out[:0], q.id, int(min(max(wait, 1), vault.MaxWait)), q.body))
-}
-
-// giveUp tells the vault that nobody waits for a call.
-func (l *link) giveUp(q *call, now micro.Time) {
-	if l.closed || l.calls[q.id] != q {
-		return
-	}
-	l.write(vault.AppendUnask(l.out[:0], q.id))
-	l.givenUp[q.id] = true
-	l.release(q, now)
-	if len(l.givenUp) >= givenUpPerLink {
-		l.retire()
-	}
-}
-
-// release takes a call off the link.
-func (l *link) release(q *call, now micro.Time) {
-	delete(l.calls, q.id)
-	l.idleSince = now
-	l.client.nextDue = min(l.client.nextDue, now+idleTimeout)
-	if l.retired && len(l.calls) == 0 {
-		l.conn.Close()
-	}
-}
-
-// retire has the link finish what it has in hand.
-func (l *link) retire() {
-	if l.retired {
-		return
-	}
-	l.retired = true
-	if len(l.calls) == 0 {
-		l.conn.Close()
-		return
-	}
-	l.client.boundRetired()
+// ask writes a call. Its wait is told in whole milliseconds, and is at least one.
+func (l *link) ask(a calls.Send) {
+	wait := (a.Wait + micro.Millisecond - 1) / micro.Millisecond
+	l.write(vault.AppendAsk(l.out[:0], a.ID, int(min(max(wait, 1), vault.MaxWait)), a.Body))
 }
 
-// check looks whether the link has been silent or idle for long; it returns when to look again.
-func (l *link) check(now micro.Time) micro.Time {
-	if len(l.calls) > 0 {
-		return l.checkSilence(now)
-	}
-	if due := l.idleSince + idleTimeout; due > now {
-		return due
-	}
-	l.retire()
-	return micro.Never
-}
+func (l *link) unask(id string) { l.write(vault.AppendUnask(l.out[:0], id)) }
 
 // Receive is part of transport.Session.
 func (l *link) Receive(in []byte) (int, error) {
-	l.heard, l.suspect = l.client.loop.Now(), false
+	c, now := l.client, l.client.loop.Now()
+	c.dispatch.Heard(now, l.id)
+	defer c.carryOut()
 	n := 0
 	for {
 		reply, size, err := vault.ParseReply(in[n:])
@@ -112,47 +45,23 @@
 			return n, err
 		}
 		n += size
-		l.take(reply)
-	}
-}
-
-// take takes up a reply. One for no call in hand is dropped: it has crossed the giving up, or is none of ours.
-func (l *link) take(reply vault.Reply) {
-	c, q := l.client, l.calls[reply.ID]
-	if q == nil {
-		return
-	}
-	now := c.loop.Now()
-	l.release(q, now)
-	c.replyTime.add(now - q.sent)
-	var body []byte
-	if reply.Status == vault.Yes {
-		body = append([]byte{}, reply.Body...)
-	}
-	c.finish(q, outcomes[reply.Status], body)
-	for _, other := range slices.Clone(c.links) {
-		if other != l {
-			other.outlived(q.sent, now)
+		var body []byte
+		if reply.Status == vault.Yes {
+			body = append([]byte{}, reply.Body...)
 		}
+		c.dispatch.Replied(now, l.id, reply.ID, outcomes[reply.Status], body)
 	}
 }
 
 // Idle is part of transport.Session. The link is never closed to make room.
 func (l *link) Idle() bool { return false }
 
-// Closed is part of transport.Session: what was in hand on it may have had its effect.
+// Closed is part of transport.Session.
 func (l *link) Closed() {
 	c := l.client
-	l.closed = true
-	c.links = slices.DeleteFunc(c.links, func(o *link) bool { return o == l })
-	lost := 0
-	for _, q := range slices.Clone(c.order) {
-		if !q.over && q.link == l {
-			lost++
-			c.finish(q, calls.Broken, nil)
-		}
-	}
-	if lost > 0 {
+	delete(c.links, l.id)
+	if lost := c.dispatch.LinkEnded(l.id); lost > 0 {
 		c.logf("vault: link lost with %d calls in hand", lost)
 	}
+	c.carryOut()
 }
