Let the allowance follow idle cores, held work and refusals

The limit that the split came from only climbs while work waits, so it stayed where it was. A trace of every instance once a second showed it; the tier below was ruled out (gauge under 0.4, no refusals there).

An allowance far under one is the cause of the flood, not its cure.

Change: the allowance grows with the idle part of the cores while a caller uses it up, shrinks with the held work and the share turned away, and never falls under 1.5 of an even split of the cores, draining or sick included.

--- a/control/control.go
+++ b/control/control.go
@@ -55,6 +55,9 @@
 	ageLate               = 1.0 / 8                  // of the aim: reading is what is short
 	weightDown, weightUp  = 0.7, 1.15                // a second of overload halves it; no wave of returns
 	weightMin             = 0.01                     // chance that a caller still tries
+	allowLeast, allowMost = 1.5, 2.0                 // of an even split of the cores; of the limit
+	heldGoal, shedGoal    = 0.1, 0.1                 // of the limit; of the reads: either ends all growth
+	idleGain, overGain    = 0.25, 0.05               // of a step, where a fifth of the cores idles
 	goneSure, repeatAim   = 4.0, 0.7                 // turned away of late: enough to tell; of the aim
 	slowPace              = 2.5                      // far slower than usual: no crowd, nor a shared cause
 	useless, usualRuns    = 0.6, 4000.0              // of the worthiest turned away; completions
@@ -153,6 +156,7 @@
 
 	heard map[uint32]time.Duration // when each caller was last dealt with
 	gaps  []float64                // arrivals by the time since then
+	open  map[uint32]int           // requests that each has here
 	kept  time.Duration            // how long idle connections are kept
 
 	share, callStock       float64 // of calls in hand, infinite where none is stated; call seconds to spend
@@ -160,6 +164,8 @@
 	sick                   string  // why health is off
 	useless                bool    // it is off, as even the worthiest work is turned away
 	said, shedNow, readNow float64 // the value, and turned away and read since
+	mostOpen               int     // the most that one caller had open since
+	heldMean               float64 // held, smoothed over climbEvery
 }
 
 // Step takes the events of one moment, in their order, and returns what to do.
@@ -231,6 +237,7 @@
 	case Tick:
 		c.busy = e.Gauges.Busy
 		c.runnable += (e.Gauges.Runnable - c.runnable) * tick.Seconds() / climbEvery.Seconds()
+		c.heldMean += (float64(c.n[held]) - c.heldMean) * tick.Seconds() / climbEvery.Seconds()
 		c.do(Wake{After: tick})
 		c.nKeys = 0
 		maps.DeleteFunc(c.keys, func(_ ID, k *entry) bool {
@@ -279,6 +286,9 @@
 	}
 	c.enter(r, over)
 	c.heard[r.Caller] = c.now
+	if c.open[r.Caller]--; c.open[r.Caller] == 0 {
+		delete(c.open, r.Caller)
+	}
 	delete(c.live, r.ID)
 }
 
@@ -483,6 +493,8 @@
 	c.live[a.ID], c.order = r, append(c.order, r)
 	c.n[held], c.heldKB, c.read, c.readNow = c.n[held]+1, c.heldKB+a.HeldKB, c.read+1, c.readNow+1
 	c.hear(r)
+	c.open[r.Caller]++
+	c.mostOpen = max(c.mostOpen, c.open[r.Caller])
 	c.meter(r)
 	if a.Retry {
 		c.again++
@@ -970,12 +982,28 @@
 		if v = clamp(v+pick(1, floorUp, -floorDown), 0, pick(1, most, most)); c.useless {
 			v = 1
 		}
-	default: // what runs and as much again held, over the callers; less where that is too much
-		v = 2 * c.limit / math.Max(1, float64(c.s.Callers)) / pick(8, 4, 1)
+	default:
+		v = c.allowance()
 	}
-	c.shedNow, c.readNow = 0, 0
+	c.shedNow, c.readNow, c.mostOpen = 0, 0, 0
 	if v != c.said {
 		c.said = v
 		c.do(Signal{Value: v})
 	}
 }
+
+// allowance is how many requests a caller may have open here. It grows while the cores idle and a caller uses
+// it up, and shrinks as work is held and turned away. Guards against an even split, which shuts out the few
+// callers that send most of the work while the cores idle; never far below it, as a caller that hears nothing
+// for SignalHeeded sends without bound what other servers did not let it.
+func (c *Controller) allowance() float64 {
+	over := c.heldMean/c.limit/heldGoal + c.shed/math.Max(c.read, 1)/shedGoal
+	factor := clamp(1+idleGain*(1-c.busy)-overGain*over, weightDown, weightUp)
+	if c.drained || c.sick != "" {
+		factor = weightDown
+	} else if float64(c.mostOpen) < math.Floor(c.said) {
+		factor = math.Min(factor, 1) // no caller asks for more
+	}
+	least := allowLeast * float64(c.s.Cores) / math.Max(1, float64(c.s.Callers))
+	return clamp(c.said*factor, least, math.Max(least, allowMost*c.limit))
+}
--- a/control/setup.go
+++ b/control/setup.go
@@ -38,7 +38,7 @@
 	c := &Controller{
 		rng: rand.New(rand.NewPCG(s.Seed, 0)), live: map[ID]*request{}, keys: map[ID]*entry{},
 		alpha: alphaMax, limit: float64(s.Cores), climbDir: 1, pace: 1, okayPace: 1, busy: -1,
-		heard: map[uint32]time.Duration{},
+		heard: map[uint32]time.Duration{}, open: map[uint32]int{},
 	}
 	if s.Signal == SignalWeight {
 		c.said = 1
