Let a successor begin with the allowance and the calls that its predecessor learned

Cause: Learn passed every free value over 1 by, and none at all for an allowance, so that each process of an upgrade began at the floor and climbed anew; nothing of calls went along. learned.go now carries the mean time of a call and the calls of a class, and takes a value within what its kind allows. The test fails without it.

--- a/control/learned.go
+++ b/control/learned.go
@@ -5,6 +5,7 @@
 type Learned struct {
 	Limit, Alpha, Said float64 // of running requests; of the lanes; the free value
 	Usual, SlotTime    Mean
+	CallTime           Mean // of calls below
 	Classes            []LearnedClass
 }
 
@@ -15,13 +16,16 @@
 type LearnedClass struct {
 	Name                string
 	Service, Slot, Away Mean
+	Calls               Mean // of a request
 }
 
 // Learned tells what has been found out.
 func (c *Controller) Learned() Learned {
-	l := Learned{Limit: c.limit, Alpha: c.alpha, Said: c.said, Usual: Mean{c.usual.n, c.usual.v}, SlotTime: Mean{c.slotTime.n, c.slotTime.v}}
+	l := Learned{Limit: c.limit, Alpha: c.alpha, Said: c.said, Usual: Mean{c.usual.n, c.usual.v}, SlotTime: Mean{c.slotTime.n, c.slotTime.v},
+		CallTime: Mean{c.callTime.n, c.callTime.v}}
 	for _, k := range c.classes {
-		l.Classes = append(l.Classes, LearnedClass{k.Name, Mean{k.service.n, k.service.v}, Mean{k.slot.n, k.slot.v}, Mean{k.away.n, k.away.v}})
+		l.Classes = append(l.Classes, LearnedClass{k.Name, Mean{k.service.n, k.service.v}, Mean{k.slot.n, k.slot.v}, Mean{k.away.n, k.away.v},
+			Mean{k.calls.n, k.calls.v}})
 	}
 	return l
 }
@@ -41,18 +45,28 @@
 	if l.Alpha >= alphaMin && l.Alpha <= alphaMax {
 		c.alpha = l.Alpha
 	}
-	if l.Said >= 0 && l.Said <= 1 && c.s.Signal != SignalAllowance {
+	if most := c.mostSaid(); l.Said >= 0 && l.Said <= most {
 		c.said = l.Said
 	}
 	take(&c.usual, l.Usual, usualRuns)
 	take(&c.slotTime, l.SlotTime, window)
+	take(&c.callTime, l.CallTime, window)
 	for _, from := range l.Classes {
 		for _, k := range c.classes {
 			if k.Name == from.Name {
 				take(&k.service, from.Service, window)
 				take(&k.slot, from.Slot, window)
 				take(&k.away, from.Away, window)
+				take(&k.calls, from.Calls, window)
 			}
 		}
 	}
 }
+
+// mostSaid is the highest free value that makes sense.
+func (c *Controller) mostSaid() float64 {
+	if c.s.Signal == SignalAllowance {
+		return allowMost * 100 * float64(c.s.Cores)
+	}
+	return 1
+}
--- a/control/learned_test.go
+++ b/control/learned_test.go
@@ -20,10 +20,12 @@
 	old := fresh(s)
 	old.limit, old.alpha, old.usual = 3.5, 0.7, mean{900, 1.4}
 	old.classes[1].slot, old.classes[1].service = mean{500, 0.08}, mean{500, 0.1}
+	old.classes[1].calls, old.callTime = mean{300, 1.5}, mean{300, 0.06}
 	s.Classes = append([]Class{{Name: "c", Aim: time.Second, Deadline: 2 * time.Second}}, s.Classes...) // other places
 	next := fresh(s)
 	next.Learn(old.Learned())
-	if next.limit != 3.5 || next.alpha != 0.7 || next.usual != old.usual || next.classes[2].slot != old.classes[1].slot || next.classes[2].service != old.classes[1].service {
+	if next.limit != 3.5 || next.alpha != 0.7 || next.usual != old.usual || next.classes[2].slot != old.classes[1].slot || next.classes[2].service != old.classes[1].service ||
+		next.classes[2].calls != old.classes[1].calls || next.callTime != old.callTime {
 		t.Errorf("learned %+v of %+v", next.Learned(), old.Learned())
 	}
 	before := next.Learned()
@@ -33,3 +35,19 @@
 		t.Errorf("took up nonsense: %+v", got)
 	}
 }
+
+// The free value goes along within what its kind allows: an allowance may be over one, a level or a chance may not.
+func TestLearnedValueKeepsItsKind(t *testing.T) {
+	for kind, said := range map[SignalKind][2]float64{SignalFloor: {0.5, 3}, SignalWeight: {0.5, 3}, SignalAllowance: {3, 1e6}} {
+		c := testController(t, func(s *Settings) { s.Signal = kind })
+		for _, unsound := range []float64{said[1], -1, math.NaN(), math.Inf(1)} {
+			before := c.said
+			if c.Learn(Learned{Said: unsound}); c.said != before {
+				t.Errorf("kind %d took %v", kind, unsound)
+			}
+		}
+		if c.Learn(Learned{Said: said[0]}); c.said != said[0] {
+			t.Errorf("kind %d: %v in place of %v", kind, c.said, said[0])
+		}
+	}
+}
