--- a/internal/routing/calls.go
+++ b/internal/routing/calls.go
@@ -12,19 +12,11 @@
 // another Ask with that id comes first; none of them is called before Ask or GiveUp returns.
 type Callee interface {
 	// Ask makes a call. Its body is not changed.
-	Ask(Call)
+	Ask(calls.Request)
 	// GiveUp ends the wait for a call; its effect is not known.
 	GiveUp(id string)
 }
 
-// Call is one call that a run waits for.
-type Call struct {
-	ID         string // of the try, as the runner has it
-	Wait       micro.Time
-	Repeatable bool // it may be made again whatever became of it
-	Body       []byte
-}
-
 // CallingRunner is a Runner whose runs may wait for calls: it tells so by Core.Blocked.
 type CallingRunner interface {
 	Runner
@@ -71,10 +63,13 @@
 	}
 	was := r.state
 	c.giveUpCall(r)
-	r.state, r.call.body = blocked, body
+	r.state = blocked
+	if r.call == nil { // else the run has had no reply, and cannot have gone on: what became of its call before still counts
+		r.call = &call{}
+	}
+	r.call.body = body
 	switch was {
-	case running: // else the run has had no reply, and cannot have gone on: what became of its call before still counts
-		r.call = call{body: body}
+	case running:
 		c.events = append(c.events, control.CallNeeded{ID: r.id})
 	case calling:
 		c.events = append(c.events, control.CallDone{ID: r.id, Outcome: calls.Broken.ForModule()})
@@ -99,7 +94,7 @@
 	}
 	r.state, r.call.asked = calling, c.now
 	repeatable := calls.MayRepeat(class.Effect, calls.GivenUp)
-	c.callee.Ask(Call{ID: r.RunID, Wait: wait, Repeatable: repeatable, Body: r.call.body})
+	c.callee.Ask(calls.Request{ID: r.RunID, Wait: wait, Repeatable: repeatable, Body: r.call.body})
 }
 
 // skipCall lets a run go on without its call. The worker pool has no word for it: an empty reply has the run go on.
@@ -128,7 +123,7 @@
 
 // resume hands a run the reply to its call.
 func (c *Core) resume(r *request, reply []byte) {
-	r.state, r.call = running, call{}
+	r.state, r.call = running, nil
 	if runner, ok := c.runner.(CallingRunner); ok {
 		runner.Supply(r.RunID, reply)
 	}
