--- a/internal/lab/figures_test.go
+++ b/internal/lab/figures_test.go
@@ -18,7 +18,8 @@
 	checked, answers := 0, 0
 	rapid.Check(t, func(t *rapid.T) {
 		profile := rapid.SampledFrom(faults.Profiles()).Draw(t, "profile")
-		script, err := faults.Draw(rapid.Uint64().Draw(t, "seed"), profile, 2, 3, 4*micro.Second, 0)
+		shape := faults.World{Servers: 2, Proxies: 3, Length: 4 * micro.Second, Vault: rapid.Bool().Draw(t, "vault")}
+		script, err := shape.Draw(rapid.Uint64().Draw(t, "seed"), profile)
 		require.NoError(t, err)
 		var log []string
 		_, err = Play(script, Options{Log: func(line string) { log = append(log, line) }, end: func(l *world) {
