Hand the allowance over to a successor on the same machine

Cause: Learn passed over the free value where it is an allowance, since that was worked out anew from the limit at each step. It is now found out over seconds, so a successor would have begun at the floor and turned work away for that long.

Change: Learn takes it up where the limit bears it; above that it is passed over.

Measured: TestAllowanceGoesAlong fails without the change.

--- a/control/learned.go
+++ b/control/learned.go
@@ -41,7 +41,11 @@
 	if l.Alpha >= alphaMin && l.Alpha <= alphaMax {
 		c.alpha = l.Alpha
 	}
-	if l.Said >= 0 && l.Said <= 1 && c.s.Signal != SignalAllowance {
+	most := 1.0
+	if c.s.Signal == SignalAllowance {
+		most = allowMost * c.limit
+	}
+	if l.Said >= 0 && l.Said <= most {
 		c.said = l.Said
 	}
 	take(&c.usual, l.Usual, usualRuns)
--- a/control/learned_test.go
+++ b/control/learned_test.go
@@ -33,3 +33,16 @@
 		t.Errorf("took up nonsense: %+v", got)
 	}
 }
+
+// An allowance is found out over seconds, so it goes along like the limit; one above what the limit bears does not.
+func TestAllowanceGoesAlong(t *testing.T) {
+	next := allowanceController(t)
+	next.Learn(Learned{Limit: 6, Said: 5})
+	if next.said != 5 {
+		t.Errorf("allowance %v after a predecessor's 5", next.said)
+	}
+	next.Learn(Learned{Limit: 6, Said: 1000})
+	if next.said != 5 {
+		t.Errorf("took up an allowance of %v with a limit of %v", next.said, next.limit)
+	}
+}
