Let a run come to its call after the hand-over in the test of an upgrade

Cause: the test met only a call that was in hand when the successor took over. Change: a second intake runs at the old process and comes to its call after the hand-over. Measured: go test -count=5 ./cmd/pewterline -run Blocked: ok, 18 s; it fails where the old process makes no calls any more.

--- a/cmd/pewterline/calls_test.go
+++ b/cmd/pewterline/calls_test.go
@@ -39,8 +39,8 @@
 	return c
 }
 
-// Guards an intake whose run waits for its call while another process takes over: the old process brings the call to its end, and
-// its repeat at the new one gets the result. The call is made once.
+// Guards intakes whose runs wait for their calls while another process takes over, or come to them only then: the old process brings
+// the calls to their end, and a repeat at the new one gets the result. Each call is made once.
 func TestUpgradeWhileBlocked(t *testing.T) {
 	t.Parallel()
 	w, v := newCallingTwin(t)
@@ -48,18 +48,24 @@
 	v.Hold()
 	blocked := w.ask(w.dial(), "lot-intake", "k1", "one")
 	called(t, v, "one")
+	old.Pool.Hold()
+	running := w.ask(w.dial(), "lot-intake", "k3", "three")
+	require.NoError(t, old.Pool.Started("three"))
 	next := w.startCalling()
 	require.NoError(t, old.Signal(syscall.SIGTERM))
 	require.Eventually(t, func() bool { return strings.Contains(next.Log(), "has handed over") }, procs.Patience, procs.Patience/1e4)
 	d := w.dial()
 	again, fresh := w.ask(d, "lot-intake", "k1", "one"), w.ask(d, "lot-intake", "k2", "two")
 	called(t, v, "two")
+	old.Pool.Release()
+	called(t, v, "three")
 	v.Release()
 	w.served(blocked, "one got kept call 1 of one")
 	w.served(again, "one got kept call 1 of one")
 	w.served(fresh, "two got kept call 1 of two")
+	w.served(running, "three got kept call 1 of three")
 	require.NoError(t, old.Wait(), old.Log())
-	require.Len(t, v.Calls(), 2)
+	require.Len(t, v.Calls(), 3)
 	w.once()
 }
 
