--- a/internal/edge/calls_test.go
+++ b/internal/edge/calls_test.go
@@ -457,7 +457,11 @@
 		stop()
 	}
 	works()
+	unasked := h.workers.Checks()
+	require.True(t, heard(h.probe(true)).Good)
+	require.Equal(t, unasked, h.workers.Checks(), "a run that has just ended well is answer enough")
 	checked(true)
+	require.Greater(t, h.workers.Checks(), unasked)
 	h.workers.Checked(pool.Fail)
 	checked(false)
 
@@ -490,6 +494,14 @@
 		require.NoError(t, p.c.Close())
 	}
 	stop()
+
+	h.later(stale)
+	deep := h.probe(true)
+	works() // the pool verifies nothing, but a run that ends well proves that work gets done
+	stop = h.run()
+	require.True(t, heard(deep).Good)
+	stop()
+
 	h.workers.Checked(pool.Pass)
 	checked(true)
 	h.workers.Freeze()
