--- a/cmd/pewterline/calls_test.go
+++ b/cmd/pewterline/calls_test.go
@@ -11,7 +11,7 @@
 	"pewterline/internal/protocol/thrift"
 )
 
-// newCallingTwin is one whose intakes call the vault.
+// newCallingTwin is one whose intakes call the vault once.
 func newCallingTwin(t *testing.T) (*twin, *procs.Vault) {
 	w := newTwin(t)
 	v, err := procs.NewVault()
@@ -23,13 +23,6 @@
 	return w, v
 }
 
-// startCalling starts a process whose intakes call once.
-func (w *twin) startCalling() *procs.Process {
-	p := w.start()
-	p.Pool.Calling("lot-intake", 1)
-	return p
-}
-
 // called is the next call, which has to be of a body.
 func called(t *testing.T, v *procs.Vault, of string) *procs.Call {
 	t.Helper()
@@ -44,14 +37,14 @@
 func TestUpgradeWhileBlocked(t *testing.T) {
 	t.Parallel()
 	w, v := newCallingTwin(t)
-	old := w.startCalling()
+	old := w.start()
 	v.Hold()
 	blocked := w.ask(w.dial(), "lot-intake", "k1", "one")
 	called(t, v, "one")
 	old.Pool.Hold()
 	running := w.ask(w.dial(), "lot-intake", "k3", "three")
 	require.NoError(t, old.Pool.Started("three"))
-	next := w.startCalling()
+	next := w.start()
 	require.NoError(t, old.Signal(syscall.SIGTERM))
 	require.Eventually(t, func() bool { return strings.Contains(next.Log(), "has handed over") }, procs.Patience, procs.Patience/1e4)
 	d := w.dial()
@@ -74,7 +67,7 @@
 func TestLeaveWithRunsBlocked(t *testing.T) {
 	t.Parallel()
 	w, v := newCallingTwin(t)
-	p := w.startCalling()
+	p := w.start()
 	v.Hold()
 	c := w.dial()
 	var open []procs.Asked
--- a/cmd/pewterline/try.go
+++ b/cmd/pewterline/try.go
@@ -15,13 +15,25 @@
 )
 
 // tryCmd shows a newcomer what the program does: three log servers that hold copies for each other, in a temporary folder, one of
-// which is lost.
+// which is lost. Requests of one class call a vault.
 type tryCmd struct {
 	Log bool `help:"Print at the end what the servers have logged."`
 }
 
 var said = map[thrift.ReplyKind]string{thrift.Answered: "served", thrift.Throttled: "refused before it ran", thrift.Broken: "failed"}
 
+// callingClass is the class of the example's configuration whose requests call the vault.
+const callingClass = "lot-update"
+
+// resultOf is the result that the toy worker pool makes for a request.
+func resultOf(class, key string) string {
+	result := "did " + key
+	if class == callingClass {
+		result += " got kept " + procs.CallBody(1, key)
+	}
+	return result
+}
+
 // run plays it; program is this program's own path.
 func (c tryCmd) run(program string, out io.Writer) (err error) {
 	var file struct{ Settings json.RawMessage }
@@ -36,6 +48,7 @@
 		return err
 	}
 	fmt.Fprintln(out, "Three log servers, each with a toy worker pool, hold copies of intakes for each other.")
+	fmt.Fprintf(out, "A run of class %s calls a toy vault, and goes on with its reply.\n", callingClass)
 	fmt.Fprintln(out)
 	if err := g.StartAll(); err != nil {
 		return err
@@ -51,13 +64,13 @@
 			answer = err.Error()
 		}
 		fmt.Fprintf(w, "%d\t%s\t%s\t%s\t%s\t%d\n", id, class, key, answer, told.Result, runs)
-		if told.Kind != thrift.Answered || told.Result != "did "+key || same && runs != 1 {
+		if told.Kind != thrift.Answered || told.Result != resultOf(class, key) || same && runs != 1 {
 			wrong = errors.Join(wrong, fmt.Errorf("try: %s at server %d: %s %q after %d runs", key, id, answer, told.Result, runs))
 		}
 	}
 	note := func(text string) { fmt.Fprintf(w, "-\t\t%s\t\t\t\n", text) }
 	send(1, "block-view", "block-4", false, false)
-	send(2, "lot-update", "lot-12", false, false)
+	send(2, callingClass, "lot-12", false, false)
 	send(1, "lot-intake", "basket-17", false, true)
 	if err := errors.Join(g.Kill(1), g.Wipe(1)); err != nil {
 		return err
--- a/internal/procs/group.go
+++ b/internal/procs/group.go
@@ -19,6 +19,7 @@
 type Group struct {
 	Servers []*Member
 	Ledger  *Ledger // of all worker pools
+	Vault   *Vault  // where their requests call; nil: they don't
 	dir     string
 	copies  int
 	lines   []string // more of the servers' files
@@ -41,6 +42,9 @@
 		return nil, err
 	}
 	g := &Group{Ledger: NewLedger(), dir: dir, copies: copies, lines: lines}
+	if g.Vault, err = vaultFor(settings); err != nil {
+		return g, err
+	}
 	for i := range n {
 		m := &Member{ID: i + 1, ways: map[int]*Relay{}}
 		home := filepath.Join(dir, fmt.Sprint("s", m.ID))
@@ -57,6 +61,9 @@
 		}
 		m.Server = &Server{Program: program, Dir: home, Name: fmt.Sprint("n", m.ID), Listen: front, Settings: settings, StopMS: 3200, MemoryMB: 96, Ledger: g.Ledger,
 			Copies: filepath.Join(home, "copies.toml")}
+		if g.Vault != nil {
+			m.Server.Vault = g.Vault.Addr()
+		}
 		g.Servers = append(g.Servers, m)
 	}
 	for _, m := range g.Servers {
@@ -374,5 +381,8 @@
 			r.Close()
 		}
 	}
+	if g.Vault != nil {
+		g.Vault.Close()
+	}
 	return errors.Join(append(errs, os.RemoveAll(g.dir))...)
 }
--- a/internal/procs/play.go
+++ b/internal/procs/play.go
@@ -82,6 +82,14 @@
 	}
 	p := &play{script: script, opts: opts, relays: map[*Process]*Relay{}, began: time.Now()}
 	p.srv = &Server{Program: opts.Program, Dir: dir, Listen: listen, Settings: opts.Settings, StopMS: 3200, MemoryMB: 64, Ledger: NewLedger()}
+	vault, err := vaultFor(opts.Settings)
+	if err != nil {
+		return out, err
+	}
+	if vault != nil {
+		defer vault.Close()
+		p.srv.Vault = vault.Addr()
+	}
 	if script.Store {
 		p.srv.Store = filepath.Join(dir, "store.toml")
 		text := fmt.Sprintf("driver = \"sqlite\"\ndsn = %q\ntimeout_ms = 30000\n", filepath.Join(dir, "intakes.db"))
--- a/internal/procs/procs.go
+++ b/internal/procs/procs.go
@@ -113,6 +113,9 @@
 	if err != nil {
 		return nil, err
 	}
+	for _, class := range callingClasses(s.Settings) {
+		pool.Calling(class, 1)
+	}
 	name := s.Name
 	if name == "" {
 		name = "n0"
@@ -148,6 +151,39 @@
 	return p, nil
 }
 
+// startClass is what the rig reads of the settings of a class.
+type startClass struct {
+	Name string `json:"name"`
+}
+
+// callingClasses are the classes whose requests call the vault; of settings that can't be read there are none.
+func callingClasses(settings json.RawMessage) (names []string) {
+	var set struct {
+		Classes []startClass `json:"classes"`
+		Extra   struct {
+			Downstream string `json:"downstream"`
+			ClassCalls []bool `json:"class_calls"`
+		} `json:"extra"`
+	}
+	if json.Unmarshal(settings, &set) != nil || set.Extra.Downstream != "tier" {
+		return nil
+	}
+	for i, class := range set.Classes {
+		if i < len(set.Extra.ClassCalls) && set.Extra.ClassCalls[i] {
+			names = append(names, class.Name)
+		}
+	}
+	return names
+}
+
+// vaultFor opens a vault where requests call one under some settings; else there is none.
+func vaultFor(settings json.RawMessage) (*Vault, error) {
+	if len(callingClasses(settings)) == 0 {
+		return nil, nil
+	}
+	return NewVault()
+}
+
 // WithCalls are settings under which requests of some classes call the vault.
 func WithCalls(settings json.RawMessage, classes ...string) (json.RawMessage, error) {
 	var set map[string]any
