Give the set that replays alike a package of its own: internal/ordered

The set of sessions and runs that is iterated in a fixed order was internal/edge's own, so that fronts and runners could not leave that package. It is ordered.Set now, with ordered.Position in place of seat; nothing else changes.

--- a/internal/edge/ajp.go
+++ b/internal/edge/ajp.go
@@ -8,6 +8,7 @@
 
 	"pewterline/control"
 	"pewterline/internal/micro"
+	"pewterline/internal/ordered"
 	"pewterline/internal/protocol/ajp"
 	"pewterline/internal/routing"
 	"pewterline/internal/transport"
@@ -41,7 +42,7 @@
 
 // ajpSession is the front for web servers that speak AJP, on one connection. It has one request at a time.
 type ajpSession struct {
-	seat
+	ordered.Position
 	s     *Server
 	conn  transport.Link
 	phase ajpPhase
@@ -56,12 +57,12 @@
 
 func (s *Server) acceptAJP(c transport.Link) *ajpSession {
 	a := &ajpSession{s: s, conn: c, due: s.loop.Now() + idleMost}
-	if s.offices.len() >= s.cfg.AJP.MaxConns {
-		s.logf("ajp: %s turned away: %d connections are open", c.Remote(), s.offices.len())
+	if s.offices.Len() >= s.cfg.AJP.MaxConns {
+		s.logf("ajp: %s turned away: %d connections are open", c.Remote(), s.offices.Len())
 		a.phase = awaitClose
 		c.Close()
 	}
-	s.offices.add(a)
+	s.offices.Add(a)
 	return a
 }
 
@@ -74,7 +75,7 @@
 // request in hand loses its caller.
 func (a *ajpSession) Closed() {
 	a.gone = true
-	a.s.offices.remove(a)
+	a.s.offices.Remove(a)
 	if a.phase == awaitAnswer {
 		a.s.core.GiveUp(a.id)
 	}
--- a/internal/edge/ajprunner.go
+++ b/internal/edge/ajprunner.go
@@ -5,6 +5,7 @@
 	"strconv"
 
 	"pewterline/internal/micro"
+	"pewterline/internal/ordered"
 	"pewterline/internal/protocol/ajp"
 	"pewterline/internal/routing"
 	"pewterline/internal/transport"
@@ -15,7 +16,7 @@
 // ajpRunner has the work done by a server that speaks AJP, over a few kept connections. It has no gauges.
 type ajpRunner struct {
 	s       *Server
-	links   bag[*ajpBackend]
+	links   ordered.Set[*ajpBackend]
 	idle    []*ajpBackend
 	dialing int
 	queue   []*ajpRun // not sent yet, oldest first
@@ -73,7 +74,7 @@
 		r.idle, r.queue = r.idle[:len(r.idle)-1], r.queue[1:]
 		b.take(q)
 	}
-	for r.dialing < len(r.queue) && r.links.len()+r.dialing < r.s.cfg.AJP.Connections {
+	for r.dialing < len(r.queue) && r.links.Len()+r.dialing < r.s.cfg.AJP.Connections {
 		r.dialing++
 		r.s.loop.Dial(r.s.cfg.AJP.Runner, func(c transport.Link) transport.Session { return r.opened(c) })
 	}
@@ -82,7 +83,7 @@
 func (r *ajpRunner) opened(c transport.Link) *ajpBackend {
 	b := &ajpBackend{r: r, conn: c}
 	r.dialing--
-	r.links.add(b)
+	r.links.Add(b)
 	r.idle = append(r.idle, b)
 	r.feed()
 	return b
@@ -91,7 +92,7 @@
 // check ends runs that have been out for longer than any answer could be wanted; it returns when to look again.
 func (r *ajpRunner) check(now micro.Time) micro.Time {
 	next := micro.Never
-	for _, b := range r.links.items {
+	for _, b := range r.links.Items() {
 		if b.run == nil {
 			continue
 		} else if now < b.due {
@@ -107,7 +108,7 @@
 
 // ajpBackend is one connection to the server that does the work.
 type ajpBackend struct {
-	seat
+	ordered.Position
 	r      *ajpRunner
 	conn   transport.Link
 	run    *ajpRun
@@ -223,7 +224,7 @@
 // Closed is part of transport.Session.
 func (b *ajpBackend) Closed() {
 	r := b.r
-	r.links.remove(b)
+	r.links.Remove(b)
 	for i, o := range r.idle {
 		if o == b {
 			r.idle = append(r.idle[:i], r.idle[i+1:]...)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -12,6 +12,7 @@
 	"pewterline/internal/config"
 	"pewterline/internal/holdings"
 	"pewterline/internal/micro"
+	"pewterline/internal/ordered"
 	"pewterline/internal/peers"
 	"pewterline/internal/planted"
 	"pewterline/internal/protocol/lease"
@@ -69,8 +70,8 @@
 	backends *ajpRunner
 	servers  *fleetRunner
 	held     *holdings.Holdings // copies, with a group of servers; nil: none
-	fronts   bag[*thriftSession]
-	offices  bag[*ajpSession]
+	fronts   ordered.Set[*thriftSession]
+	offices  ordered.Set[*ajpSession]
 	host     Host
 	peer     *peerProcess // the other process, in an upgrade
 	handed   bool         // it has taken over from this one
@@ -247,7 +248,7 @@
 	if len(s.late) > 0 {
 		next = min(next, s.forgetLate(now))
 	}
-	for _, a := range s.offices.items {
+	for _, a := range s.offices.Items() {
 		next = min(next, a.check(now))
 	}
 	if s.pool != nil {
@@ -277,7 +278,7 @@
 // peer closes them, so that no request crosses the close. One that does not is closed after a while.
 func (s *Server) closeIdle(now micro.Time) {
 	after := s.core.IdleAfter()
-	for _, t := range s.fronts.items {
+	for _, t := range s.fronts.Items() {
 		if !t.Idle() {
 			continue
 		}
@@ -352,14 +353,14 @@
 	if now >= quiet && !s.farewell {
 		s.farewell = true
 		s.closeListeners()
-		for _, t := range s.fronts.items {
+		for _, t := range s.fronts.Items() {
 			t.farewell(now)
 		}
-		for _, a := range s.offices.items {
+		for _, a := range s.offices.Items() {
 			a.leave()
 		}
 	}
-	done := s.farewell && (s.listening == 0 && s.core.Drained() && s.fronts.len()+s.offices.len() == 0 || planted.Bug(planted.LeaveOpen))
+	done := s.farewell && (s.listening == 0 && s.core.Drained() && s.fronts.Len()+s.offices.Len() == 0 || planted.Bug(planted.LeaveOpen))
 	if (done || now >= s.stopAt) && !s.stopped {
 		s.logf("edge: drained after %d requests, %d are open", s.requests, s.core.Open())
 		s.shutdown(now)
--- a/internal/edge/end_test.go
+++ b/internal/edge/end_test.go
@@ -136,7 +136,7 @@
 
 // fronts counts the proxies' connections.
 func (h *house) fronts() (n int) {
-	h.do(func() { n = h.srv.fronts.len() })
+	h.do(func() { n = h.srv.fronts.Len() })
 	return n
 }
 
--- a/internal/edge/fleetrunner.go
+++ b/internal/edge/fleetrunner.go
@@ -11,6 +11,7 @@
 	"pewterline/internal/config"
 	"pewterline/internal/decide/fleet"
 	"pewterline/internal/micro"
+	"pewterline/internal/ordered"
 	"pewterline/internal/peers"
 	"pewterline/internal/protocol/thrift"
 	"pewterline/internal/routing"
@@ -35,8 +36,8 @@
 	members  []*fleetMember
 	byName   map[string]*fleetMember
 	runs     map[string]*fleetRun
-	work     bag[*fleetRun] // the same, in an order of its own
-	pending  []*fleetRun    // that cannot be sent now; told in the turn's check, never from within Start
+	work     ordered.Set[*fleetRun] // the same, in an order of its own
+	pending  []*fleetRun            // that cannot be sent now; told in the turn's check, never from within Start
 	sweepAt  micro.Time
 	wasted   int             // tries that came to nothing for want of a server
 	exchange *peers.Exchange // nil: this instance has no others to talk with
@@ -53,7 +54,7 @@
 
 // fleetRun is a run that has not ended.
 type fleetRun struct {
-	seat
+	ordered.Position
 	routing.Run
 	req      *routing.Request
 	class    control.Class
@@ -110,7 +111,7 @@
 	q.due = q.req.At + micro.Of(q.class.Deadline)
 	q.keyed, q.key = q.class.Effect == control.Keyed, fleet.Key{Tenant: q.req.Tenant, Once: q.req.Once}
 	r.runs[run.ID] = q
-	r.work.add(q)
+	r.work.Add(q)
 	r.attempts.First(r.now(), q.req.Caller)
 	r.route(q)
 }
@@ -275,7 +276,7 @@
 
 func (r *fleetRunner) drop(q *fleetRun) {
 	delete(r.runs, q.ID)
-	r.work.remove(q)
+	r.work.Remove(q)
 }
 
 func (r *fleetRunner) finish(q *fleetRun, end routing.End, result []byte) {
@@ -364,11 +365,11 @@
 
 func (r *fleetRunner) checkRuns(now micro.Time) micro.Time {
 	next := micro.Never
-	for i := r.work.len() - 1; i >= 0; i-- { // from the end, as one that ends gives its place to the last
-		if i >= r.work.len() {
+	for i := r.work.Len() - 1; i >= 0; i-- { // from the end, as one that ends gives its place to the last
+		if i >= r.work.Len() {
 			continue
 		}
-		switch q := r.work.items[i]; {
+		switch q := r.work.Items()[i]; {
 		case now >= q.due:
 			r.withdraw(q, fleet.TimedOut)
 			end := routing.Errored
--- a/internal/edge/thrift.go
+++ b/internal/edge/thrift.go
@@ -11,6 +11,7 @@
 
 	"pewterline/control"
 	"pewterline/internal/micro"
+	"pewterline/internal/ordered"
 	"pewterline/internal/planted"
 	"pewterline/internal/protocol/thrift"
 	"pewterline/internal/routing"
@@ -25,7 +26,7 @@
 
 // thriftSession is the platform's front on one connection.
 type thriftSession struct {
-	seat
+	ordered.Position
 	s      *Server
 	conn   transport.Link
 	open   map[int32]control.ID // by sequence number
@@ -40,7 +41,7 @@
 
 func (s *Server) acceptThrift(c transport.Link) *thriftSession {
 	t := &thriftSession{s: s, conn: c, open: map[int32]control.ID{}, last: s.loop.Now()}
-	s.fronts.add(t)
+	s.fronts.Add(t)
 	if s.farewell {
 		t.farewell(t.last)
 	}
@@ -101,7 +102,7 @@
 // Closed is part of transport.Session: whoever waits on this connection has left.
 func (t *thriftSession) Closed() {
 	t.closed = true
-	t.s.fronts.remove(t)
+	t.s.fronts.Remove(t)
 	for _, seq := range slices.Sorted(maps.Keys(t.open)) {
 		t.s.core.GiveUp(t.open[seq])
 	}
--- /dev/null
+++ b/internal/ordered/set.go
@@ -0,0 +1,36 @@
+// Package ordered has a set that is iterated in an order that depends on nothing but the calls made to it. A map's random order
+// would make replays of the same events differ.
+package ordered
+
+// Position is an element's place in a set. A type whose pointers are to be elements embeds it; each element is in one set at most.
+type Position struct{ index int }
+
+func (p *Position) position() *Position { return p }
+
+// Element is what can be in a set: a pointer to a type that embeds Position.
+type Element interface{ position() *Position }
+
+// Set is a set of elements. Adding and removing take constant time. The zero value is empty.
+type Set[E Element] struct{ items []E }
+
+// Add adds an element that is in no set.
+func (s *Set[E]) Add(element E) {
+	element.position().index = len(s.items)
+	s.items = append(s.items, element)
+}
+
+// Remove removes an element that is in the set; the last one takes its place.
+func (s *Set[E]) Remove(element E) {
+	index, last := element.position().index, len(s.items)-1
+	s.items[index] = s.items[last]
+	s.items[index].position().index = index
+	var none E
+	s.items[last] = none
+	s.items = s.items[:last]
+}
+
+// Len returns the number of elements.
+func (s *Set[E]) Len() int { return len(s.items) }
+
+// Items returns the elements in order. The slice is the set's own, and valid until the next Add or Remove.
+func (s *Set[E]) Items() []E { return s.items }
