Move the fronts out of internal/edge: internal/front with thriftfront and ajpfront

The fronts leave it: thriftfront with the health checks, ajpfront, and in internal/front the fields that both read and the small interface of what they need of the server, which edge's frontServer implements.

The guard of tables covers the new packages.

--- a/internal/edge/ajprunner.go
+++ b/internal/edge/ajprunner.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strconv"
 
+	"pewterline/internal/front"
 	"pewterline/internal/micro"
 	"pewterline/internal/ordered"
 	"pewterline/internal/protocol/ajp"
@@ -148,7 +149,7 @@
 	out := ajp.AppendForward(b.out[:0], ajp.Request{
 		Method: "POST", URI: cfg.RunnerPath + "/" + q.Class, RemoteAddr: "127.0.0.1", Secret: cfg.RunnerKey,
 		Headers: []ajp.Header{{Name: "content-length", Value: strconv.Itoa(len(q.Body))},
-			{Name: headerPrefix + "Class", Value: q.Class}, {Name: headerPrefix + "Id", Value: q.ID}},
+			{Name: front.HeaderPrefix + "Class", Value: q.Class}, {Name: front.HeaderPrefix + "Id", Value: q.ID}},
 	})
 	if b.left = q.Body; len(q.Body) > 0 {
 		out, b.left = ajp.AppendBody(out, q.Body)
--- a/internal/edge/clients_test.go
+++ b/internal/edge/clients_test.go
@@ -84,6 +84,6 @@
 		}
 		l.advance(l.now + 6*micro.Second)
 		require.Zero(t, l.srv.core.Open(), name)
-		require.LessOrEqual(t, l.srv.fronts.Len(), 1, name+": the good one alone, if it is still open")
+		require.LessOrEqual(t, l.srv.thrift.Len(), 1, name+": the good one alone, if it is still open")
 	}
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -1,5 +1,5 @@
-// Package edge joins the layers: its sessions carry bytes between transport's connections, the protocols'
-// parsers and the core, and its Server ties them to one loop. It decides nothing about requests.
+// Package edge joins the layers: its Server ties the fronts, the core and what does the work to one loop. It decides nothing
+// about requests.
 package edge
 
 import (
@@ -10,9 +10,11 @@
 
 	"pewterline/control"
 	"pewterline/internal/config"
+	"pewterline/internal/front"
+	"pewterline/internal/front/ajpfront"
+	"pewterline/internal/front/thriftfront"
 	"pewterline/internal/holdings"
 	"pewterline/internal/micro"
-	"pewterline/internal/ordered"
 	"pewterline/internal/peers"
 	"pewterline/internal/planted"
 	"pewterline/internal/protocol/lease"
@@ -28,7 +30,6 @@
 	reportEvery  = 200 * micro.Millisecond
 	sweepEvery   = 250 * micro.Millisecond // looks for idle connections
 	stopLead     = 100 * micro.Millisecond // we are gone this long before the process would be stopped
-	lingerMost   = 2 * micro.Second        // for the peer of a connection that was told farewell
 	shutdownMost = 500 * micro.Millisecond // for the peers of the last connections to close them
 )
 
@@ -70,8 +71,8 @@
 	backends *ajpRunner
 	servers  *fleetRunner
 	held     *holdings.Holdings // copies, with a group of servers; nil: none
-	fronts   ordered.Set[*thriftSession]
-	offices  ordered.Set[*ajpSession]
+	thrift   *thriftfront.Front
+	ajp      *ajpfront.Front
 	host     Host
 	peer     *peerProcess // the other process, in an upgrade
 	handed   bool         // it has taken over from this one
@@ -94,6 +95,7 @@
 		cfg: cfg, logf: logf, wall: wall, classes: map[string]int{}, tenants: map[string]int{}, reported: true,
 		settings: cfg.Settings, late: map[int]micro.Time{},
 	}
+	s.thrift, s.ajp = thriftfront.New(frontServer{s}), ajpfront.New(frontServer{s}, cfg.AJP)
 	s.name()
 	var runner routing.Runner
 	if len(cfg.Fleet.Members) > 0 {
@@ -206,7 +208,7 @@
 func (s *Server) Accept(listener int, c transport.Link) transport.Session {
 	switch {
 	case listener == 1:
-		return s.acceptAJP(c)
+		return s.ajp.Accept(c)
 	case listener == HandoverListener:
 		return s.acceptHandover(c)
 	case listener == CopiesListener && s.held != nil:
@@ -216,7 +218,7 @@
 	case listener == ExchangeListener && s.servers != nil && s.servers.exchange != nil:
 		return s.servers.exchange.Accept(c)
 	}
-	return s.acceptThrift(c)
+	return s.thrift.Accept(c)
 }
 
 // Turn ends a turn of the loop: one step of the core, then what is due by the clock.
@@ -233,7 +235,7 @@
 	}
 	if now >= s.nextSweep {
 		s.nextSweep = now + sweepEvery
-		s.closeIdle(now)
+		s.thrift.CloseIdle(now, s.core.IdleAfter())
 	}
 	next := min(s.core.NextDue(), s.nextSweep)
 	if !s.handed {
@@ -248,9 +250,7 @@
 	if len(s.late) > 0 {
 		next = min(next, s.forgetLate(now))
 	}
-	for _, a := range s.offices.Items() {
-		next = min(next, a.check(now))
-	}
+	next = min(next, s.ajp.Check(now))
 	if s.pool != nil {
 		next = min(next, s.pool.Check(now), s.vault.NextDue())
 	}
@@ -274,22 +274,6 @@
 	s.loop.Send(lease.Append(nil, s.cfg.Name, s.reported))
 }
 
-// closeIdle bids farewell to connections that have been idle for as long as the core wishes to keep them: the
-// peer closes them, so that no request crosses the close. One that does not is closed after a while.
-func (s *Server) closeIdle(now micro.Time) {
-	after := s.core.IdleAfter()
-	for _, t := range s.fronts.Items() {
-		if !t.Idle() {
-			continue
-		}
-		if idle := now - t.last; t.bidden && idle > lingerMost {
-			t.conn.Close()
-		} else if !t.bidden && after > 0 && idle >= after {
-			t.farewell(now)
-		}
-	}
-}
-
 // Wasted counts the tries that came to nothing for want of a server, where this is an edge.
 func (s *Server) Wasted() int {
 	if s.servers == nil {
@@ -298,18 +282,6 @@
 	return s.servers.wasted
 }
 
-// submit hands a request to the core.
-func (s *Server) submit(r routing.Request) (control.ID, error) {
-	id, err := s.core.Submit(s.loop.Now(), r)
-	switch {
-	case err == nil:
-		s.requests++
-	case r.Class >= 0 && r.Class < len(s.cfg.Settings.Classes):
-		s.core.Malformed(r.Class)
-	}
-	return id, err
-}
-
 // Drain is the notice to leave, which came at a time up to now: whoever sent it counts from then, however long the program took
 // to start, or to come to it.
 func (s *Server) Drain(at micro.Time) {
@@ -349,18 +321,13 @@
 // then nobody is accepted any more and farewell is bid, and the end waits for the peers to have closed, so that no request is
 // cut off unread.
 func (s *Server) drain(now micro.Time) micro.Time {
-	quiet := min(s.drainAt+micro.Of(s.cfg.Settings.DrainGrace), s.stopAt-lingerMost/4)
+	quiet := min(s.drainAt+micro.Of(s.cfg.Settings.DrainGrace), s.stopAt-front.LingerTimeout/4)
 	if now >= quiet && !s.farewell {
 		s.farewell = true
 		s.closeListeners()
-		for _, t := range s.fronts.Items() {
-			t.farewell(now)
-		}
-		for _, a := range s.offices.Items() {
-			a.leave()
-		}
+		s.sayFarewell(now)
 	}
-	done := s.farewell && (s.listening == 0 && s.core.Drained() && s.fronts.Len()+s.offices.Len() == 0 || planted.Bug(planted.LeaveOpen))
+	done := s.farewell && (s.listening == 0 && s.core.Drained() && s.connections() == 0 || planted.Bug(planted.LeaveOpen))
 	if (done || now >= s.stopAt) && !s.stopped {
 		s.logf("edge: drained after %d requests, %d are open", s.requests, s.core.Open())
 		s.shutdown(now)
--- a/internal/edge/end_test.go
+++ b/internal/edge/end_test.go
@@ -136,7 +136,7 @@
 
 // fronts counts the proxies' connections.
 func (h *house) fronts() (n int) {
-	h.do(func() { n = h.srv.fronts.Len() })
+	h.do(func() { n = h.srv.thrift.Len() })
 	return n
 }
 
--- a/internal/edge/fleetrunner.go
+++ b/internal/edge/fleetrunner.go
@@ -19,12 +19,13 @@
 )
 
 const (
-	fleetOpen  = 32 // requests on a connection, as the platform has it
-	fleetIdle  = 5 * micro.Second
-	fleetSweep = 5 * micro.Second
-	againThere = 50 * micro.Millisecond // before an intake is asked for again at its server
-	declineFor = 100 * micro.Millisecond
-	hedgeAt    = 0.95 // quantile of what reads usually take
+	fleetOpen            = 32 // requests on a connection, as the platform has it
+	fleetMessagesPerTurn = 64 // of a connection: the answers to all that is open on it, and as many more
+	fleetIdle            = 5 * micro.Second
+	fleetSweep           = 5 * micro.Second
+	againThere           = 50 * micro.Millisecond // before an intake is asked for again at its server
+	declineFor           = 100 * micro.Millisecond
+	hedgeAt              = 0.95 // quantile of what reads usually take
 )
 
 // fleetRunner has the work done by log servers, over connections made on demand: the program as an edge. What goes
@@ -521,7 +522,7 @@
 func (l *fleetLink) Receive(in []byte) (int, error) {
 	l.heard = l.r.now()
 	n := 0
-	for range turnsWork {
+	for range fleetMessagesPerTurn {
 		payload, size, err := thrift.Split(in[n:])
 		if err != nil || payload == nil {
 			return n, err
--- a/internal/edge/handover.go
+++ b/internal/edge/handover.go
@@ -249,7 +249,7 @@
 
 // conns tells the successor how many connections are open, so that both keep to one limit.
 func (k *peerProcess) conns() {
-	n := k.s.fronts.Len() + k.s.offices.Len()
+	n := k.s.connections()
 	if k.told != n {
 		k.told = n
 		k.send(upgrade.Message{Kind: upgrade.Conns, Conns: n})
@@ -308,13 +308,8 @@
 	s.core.HandOver()
 	s.peer.yours = true
 	s.peer.send(upgrade.Message{Kind: upgrade.Yours})
-	for _, t := range s.fronts.Items() {
-		t.farewell(now)
-	}
-	for _, a := range s.offices.Items() {
-		a.leave()
-	}
-	s.logf("edge: handed over with %d requests and %d connections open, to stop within %v", s.core.Open(), s.fronts.Len()+s.offices.Len(), (s.stopAt - now).Duration())
+	s.sayFarewell(now)
+	s.logf("edge: handed over with %d requests and %d connections open, to stop within %v", s.core.Open(), s.connections(), (s.stopAt - now).Duration())
 }
 
 // leaveHanded ends an old process once all that it read is answered and its keyed runs have ended. Its peers have closed by
@@ -326,7 +321,7 @@
 	if now >= s.stopAt-stopLead/2 {
 		s.core.EndAll()
 	}
-	quiet := s.listening == 0 && s.core.Open() == 0 && s.core.KeyedRuns() == 0 && s.fronts.Len()+s.offices.Len() == 0
+	quiet := s.listening == 0 && s.core.Open() == 0 && s.core.KeyedRuns() == 0 && s.connections() == 0
 	if now >= s.handedAt+handLinger && quiet || now >= s.stopAt {
 		s.logf("edge: gone after %d requests, %d are open", s.requests, s.core.Open())
 		s.shutdown(now)
--- a/internal/edge/play_test.go
+++ b/internal/edge/play_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"pewterline/internal/config"
+	"pewterline/internal/front/thriftfront"
 	"pewterline/internal/micro"
 	"pewterline/internal/protocol/ajp"
 	"pewterline/internal/protocol/thrift"
@@ -332,10 +333,10 @@
 	s := newStage(t, config.AJP{})
 	l := s.connect("c", 0)
 	probe := "\x00\x00\x00\x16\x80\x01\x00\x01\x00\x00\x00\x05probe\x00\x00\x00\x01\x02\x00\x01\x00\x00"
-	const sent = 2*turnsWork + 1
+	const sent = 2*thriftfront.MaxMessagesPerTurn + 1
 	s.deliver(l, []byte(strings.Repeat(probe, sent)))
-	answer := len(l.out) / turnsWork
-	require.Equal(t, (sent-turnsWork)*len(probe), len(l.in), "left for later")
+	answer := len(l.out) / thriftfront.MaxMessagesPerTurn
+	require.Equal(t, (sent-thriftfront.MaxMessagesPerTurn)*len(probe), len(l.in), "left for later")
 	s.turn()
 	require.Empty(t, l.in)
 	require.Equal(t, sent*answer, len(l.out))
--- a/internal/edge/retune_test.go
+++ b/internal/edge/retune_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"pewterline/internal/config"
+	"pewterline/internal/front/thriftfront"
 	"pewterline/internal/micro"
 	"pewterline/internal/protocol/thrift"
 	"pewterline/internal/wire"
@@ -142,11 +143,11 @@
 func TestUnknownClassHarmsNoOther(t *testing.T) {
 	l := newLinked(t)
 	l.ask("00000000000000a1", "block-view", "")
-	for i := range 3 * maxFaults {
+	for i := range 3 * thriftfront.MaxFaults {
 		l.ask(fmt.Sprintf("%016x", 100+i), "no-such", "")
 	}
 	require.False(t, l.caller.closed)
-	require.Equal(t, 3*maxFaults, bytes.Count(l.caller.out, []byte(`class: unknown`)))
+	require.Equal(t, 3*thriftfront.MaxFaults, bytes.Count(l.caller.out, []byte(`class: unknown`)))
 	l.tell("finished 1 00000000000000a1 PASS 5 2\r\nok\r\n")
 	payload, _, err := thrift.Split(l.caller.out[bytes.LastIndex(l.caller.out, []byte("process"))-12:])
 	require.NoError(t, err)
--- /dev/null
+++ b/internal/front/request.go
@@ -0,0 +1,129 @@
+package front
+
+import (
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+
+	"pewterline/internal/micro"
+	"pewterline/internal/routing"
+)
+
+// The bounds of a request's fields.
+const (
+	maxAhead = 10 * micro.Second  // that a request's own time may be ahead of ours
+	maxPast  = 600 * micro.Second // beyond any deadline and window; what came before that came then
+	idDigits = 16
+	maxOnce  = 128                             // characters of a once-key
+	maxCost  = micro.Time(3600) * micro.Second // of the work that a request may be said to take; more is taken for it
+)
+
+// ReadRequest reads the fields that all fronts share; get returns "" for one that is absent. The error names the field.
+func ReadRequest(server Server, get func(field string) string) (r routing.Request, err error) {
+	if err = readOwner(&r, server, get); err != nil {
+		return r, err
+	}
+	if err = readTry(&r, server, get); err != nil {
+		return r, err
+	}
+	if err = readSize(&r, get); err != nil {
+		return r, err
+	}
+	return r, readKeys(&r, get)
+}
+
+// readOwner reads the class and the tenant.
+func readOwner(r *routing.Request, server Server, get func(string) string) error {
+	var known bool
+	if r.Class, known = server.Class(get("class")); !known {
+		return fmt.Errorf("%w %q", ErrUnknownClass, get("class"))
+	}
+	if r.Tenant, known = server.Tenant(get("tenant")); !known {
+		return fmt.Errorf("tenant: unknown %q", get("tenant"))
+	}
+	return nil
+}
+
+// readTry reads what names the try, when it was sent and by whom.
+func readTry(r *routing.Request, server Server, get func(string) string) error {
+	if r.RunID = get("id"); !isHex(r.RunID, idDigits) {
+		return fmt.Errorf("id: %q is not %d hex digits", r.RunID, idDigits)
+	}
+	at, err := strconv.ParseUint(get("at"), 10, 50) // no sign; and its microseconds can be counted
+	if err != nil {
+		return fmt.Errorf("at: %q is not a time in milliseconds", get("at"))
+	}
+	now := server.Now()
+	if r.At = server.FromUnixMilli(int64(at)); r.At > now+maxAhead {
+		return fmt.Errorf("at: %d is over %v ahead", at, maxAhead.Duration())
+	}
+	r.At, r.AtMilli = min(max(r.At, now-maxPast), now), int64(at)
+	from, err := strconv.ParseUint(get("from"), 10, 32)
+	if err != nil {
+		return fmt.Errorf("from: %q is not a number", get("from"))
+	}
+	r.Caller = uint32(from)
+	r.Retry = get("retry") == "1"
+	return nil
+}
+
+// readSize reads the memory and the work to expect, and the rank.
+func readSize(r *routing.Request, get func(string) string) (err error) {
+	if r.HeldKB, err = parseDecimal(get("kb")); err != nil {
+		return fmt.Errorf("kb: %q is not a number", get("kb"))
+	}
+	if cost := get("cost"); cost != "" {
+		if r.Hint, err = parseCost(cost); err != nil {
+			return err
+		}
+	}
+	if r.Rank, err = parseDecimal(get("rank")); err != nil {
+		return fmt.Errorf("rank: %q is not a number", get("rank"))
+	}
+	// Written with few digits, a rank just under 1 reads as 1.
+	if r.Rank == 1 {
+		r.Rank = math.Nextafter(1, 0)
+	}
+	return nil
+}
+
+// readKeys reads what the request is about and its once-key.
+func readKeys(r *routing.Request, get func(string) string) (err error) {
+	if key := get("key"); key != "" {
+		if r.Key, err = strconv.ParseUint(key, 16, 64); err != nil {
+			return fmt.Errorf("key: %q is not a hex number", key)
+		}
+	}
+	if r.Once = get("once"); len(r.Once) > maxOnce {
+		return fmt.Errorf("once: %d characters are too many", len(r.Once))
+	}
+	return nil
+}
+
+// parseCost reads the work to expect, in milliseconds on one core.
+func parseCost(text string) (micro.Time, error) {
+	ms, err := parseDecimal(text)
+	if err != nil {
+		return 0, fmt.Errorf("cost: %q is not a number of milliseconds", text)
+	}
+	return micro.Time(math.Min(ms*float64(micro.Millisecond), float64(maxCost))), nil
+}
+
+// parseDecimal reads digits with at most one point among them: no sign, exponent or word, which ParseFloat takes too.
+func parseDecimal(text string) (float64, error) {
+	if strings.Trim(text, "0123456789.") != "" {
+		return 0, strconv.ErrSyntax
+	}
+	return strconv.ParseFloat(text, 64)
+}
+
+// isHex says whether text is that many hex digits.
+func isHex(text string, digits int) bool {
+	for i := range len(text) {
+		if c := text[i] | 0x20; (c < '0' || c > '9') && (c < 'a' || c > 'f') {
+			return false
+		}
+	}
+	return len(text) == digits
+}
--- /dev/null
+++ b/internal/front/thriftfront/front.go
@@ -0,0 +1,54 @@
+// Package thriftfront is the platform's front: proxies send requests, give them up and check the server's health over Thrift.
+package thriftfront
+
+import (
+	"pewterline/control"
+	"pewterline/internal/front"
+	"pewterline/internal/micro"
+	"pewterline/internal/ordered"
+	"pewterline/internal/transport"
+)
+
+// Front holds the sessions of all proxies' connections. Its methods are called on the loop.
+type Front struct {
+	server   front.Server
+	sessions ordered.Set[*session]
+}
+
+// New returns a front without connections.
+func New(server front.Server) *Front { return &Front{server: server} }
+
+// Accept gives a connection its session.
+func (f *Front) Accept(conn transport.Link) transport.Session {
+	s := &session{front: f, conn: conn, open: map[int32]control.ID{}, lastActive: f.server.Now()}
+	f.sessions.Add(s)
+	if f.server.Leaving() {
+		s.sendFarewell(s.lastActive)
+	}
+	return s
+}
+
+// Len returns the number of connections.
+func (f *Front) Len() int { return f.sessions.Len() }
+
+// Farewell tells all peers to send nothing new and to close.
+func (f *Front) Farewell(now micro.Time) {
+	for _, s := range f.sessions.Items() {
+		s.sendFarewell(now)
+	}
+}
+
+// CloseIdle tells the peers of connections that have been idle for that long to close them, so that no request crosses the close;
+// 0 keeps them. One that does not close is closed after front.LingerTimeout.
+func (f *Front) CloseIdle(now, after micro.Time) {
+	for _, s := range f.sessions.Items() {
+		if !s.Idle() {
+			continue
+		}
+		if idle := now - s.lastActive; s.farewellSent && idle > front.LingerTimeout {
+			s.conn.Close()
+		} else if !s.farewellSent && after > 0 && idle >= after {
+			s.sendFarewell(now)
+		}
+	}
+}
--- a/internal/lab/tables_test.go
+++ b/internal/lab/tables_test.go
@@ -53,7 +53,8 @@
 
 func ours(t reflect.Type) bool {
 	p := t.PkgPath()
-	for _, own := range []string{"control", "internal/edge", "internal/ordered", "internal/routing", "internal/workerpool", "internal/vaultlink", "internal/transport", "internal/config"} {
+	for _, own := range []string{"control", "internal/edge", "internal/front", "internal/front/ajpfront", "internal/front/thriftfront",
+		"internal/ordered", "internal/routing", "internal/workerpool", "internal/vaultlink", "internal/transport", "internal/config"} {
 		if p == "pewterline/"+own {
 			return true
 		}
