Move the AJP runner out of internal/edge: internal/runner/ajprunner

The runner takes its configuration, the longest time of a run, its core and its loop as the worker pool's does, and no longer reaches into the Server; the settings hold until a restart where an AJP server does the work, so the time is worked out once.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -19,6 +19,7 @@
 	"pewterline/internal/planted"
 	"pewterline/internal/protocol/lease"
 	"pewterline/internal/routing"
+	"pewterline/internal/runner/ajprunner"
 	"pewterline/internal/transport"
 	"pewterline/internal/vaultlink"
 	"pewterline/internal/workerpool"
@@ -68,7 +69,7 @@
 	late     map[int]micro.Time // classes that are gone are taken until then, by place
 	pool     *workerpool.Runner
 	vault    *vaultlink.Client // where runs call
-	backends *ajpRunner
+	backends *ajprunner.Runner // nil: no AJP server does the work
 	servers  *fleetRunner
 	held     *holdings.Holdings // copies, with a group of servers; nil: none
 	thrift   *thriftfront.Front
@@ -105,7 +106,7 @@
 		}
 		runner = s.servers
 	} else if cfg.AJP.Runner != "" {
-		s.backends = newAJPRunner(s)
+		s.backends = ajprunner.New(ajprunner.Config{AJP: cfg.AJP, RunTimeout: longestAnswer(cfg.Settings.Classes)}, logf)
 		runner = s.backends
 	} else {
 		s.pool = workerpool.New(workerpool.Config{Address: cfg.Pool, Gauges: cfg.Gauges}, logf)
@@ -122,6 +123,14 @@
 	return s, nil
 }
 
+// longestAnswer is how long any answer could be wanted.
+func longestAnswer(classes []control.Class) (longest micro.Time) {
+	for _, c := range classes {
+		longest = max(longest, micro.Of(c.Deadline), micro.Of(c.Window))
+	}
+	return longest
+}
+
 // Attach starts the server on its loop; it is called there.
 func (s *Server) Attach(l Loop) {
 	s.loop = l
@@ -132,6 +141,9 @@
 		s.servers.exchange = peers.NewExchange(peers.ExchangeConfig{Name: s.cfg.Name, Address: s.cfg.Fleet.Exchange, Peers: s.cfg.Fleet.Peers, Seed: s.cfg.Settings.Seed},
 			l, s.servers.fleet, s.logf)
 	}
+	if s.backends != nil {
+		s.backends.Attach(s.core, l)
+	}
 	if s.pool != nil {
 		s.vault.Attach(l, s.core.CallEnded)
 		s.pool.Attach(s.core, l)
@@ -258,7 +270,7 @@
 		next = min(next, s.servers.check(now))
 	}
 	if s.backends != nil {
-		next = min(next, s.backends.check(now))
+		next = min(next, s.backends.Check(now))
 	}
 	if s.draining {
 		next = min(next, s.drain(now))
--- /dev/null
+++ b/internal/runner/ajprunner/runner.go
@@ -0,0 +1,127 @@
+// Package ajprunner has the work done by a server that speaks AJP, over a few kept connections. It has no gauges.
+package ajprunner
+
+import (
+	"slices"
+
+	"pewterline/internal/config"
+	"pewterline/internal/micro"
+	"pewterline/internal/ordered"
+	"pewterline/internal/routing"
+	"pewterline/internal/transport"
+)
+
+// Core is told how runs end.
+type Core interface {
+	Finished(id string, end routing.End, result []byte)
+}
+
+// Loop is what the runner needs of the event loop.
+type Loop interface {
+	Now() micro.Time
+	Dial(addr string, open func(transport.Link) transport.Session) (drop func())
+}
+
+// Config says where the server is, and how long a run may take: longer than any answer could be wanted.
+type Config struct {
+	config.AJP
+	RunTimeout micro.Time
+}
+
+// Runner hands runs to the server. All its methods are called on the loop.
+type Runner struct {
+	config  Config
+	core    Core
+	loop    Loop
+	logf    func(format string, args ...any)
+	links   ordered.Set[*link]
+	idle    []*link
+	dialing int
+	queue   []*run // not sent yet, oldest first
+	runs    map[string]*run
+}
+
+// run is a run that has not ended.
+type run struct {
+	routing.Run
+	link *link // nil while queued
+}
+
+// New returns a runner without a connection: the first run opens one. Attach must follow.
+func New(cfg Config, logf func(format string, args ...any)) *Runner {
+	return &Runner{config: cfg, logf: logf, runs: map[string]*run{}}
+}
+
+// Attach ties the runner to its core and its loop.
+func (r *Runner) Attach(core Core, loop Loop) { r.core, r.loop = core, loop }
+
+// Start is part of routing.Runner.
+func (r *Runner) Start(started routing.Run) {
+	q := &run{Run: started}
+	r.runs[q.ID] = q
+	r.queue = append(r.queue, q)
+	r.feed()
+}
+
+// Stop is part of routing.Runner. AJP has no word for it: the connection is closed.
+func (r *Runner) Stop(id string) {
+	q := r.runs[id]
+	switch {
+	case q == nil:
+	case q.link != nil:
+		q.link.conn.Close()
+		q.link.end(routing.Stopped, nil)
+	default:
+		if i := slices.Index(r.queue, q); i >= 0 {
+			r.queue = slices.Delete(r.queue, i, i+1)
+		}
+		r.finish(q, routing.Stopped, nil)
+	}
+}
+
+// Poll is part of routing.Runner.
+func (r *Runner) Poll() {}
+
+func (r *Runner) finish(q *run, end routing.End, result []byte) {
+	delete(r.runs, q.ID)
+	r.core.Finished(q.ID, end, result)
+}
+
+// feed gives queued runs to idle connections, and opens more where those do not suffice.
+func (r *Runner) feed() {
+	for len(r.queue) > 0 && len(r.idle) > 0 {
+		l, q := r.idle[len(r.idle)-1], r.queue[0]
+		r.idle, r.queue = r.idle[:len(r.idle)-1], r.queue[1:]
+		l.start(q)
+	}
+	for r.dialing < len(r.queue) && r.links.Len()+r.dialing < r.config.Connections {
+		r.dialing++
+		r.loop.Dial(r.config.Runner, func(conn transport.Link) transport.Session { return r.opened(conn) })
+	}
+}
+
+func (r *Runner) opened(conn transport.Link) *link {
+	l := &link{runner: r, conn: conn}
+	r.dialing--
+	r.links.Add(l)
+	r.idle = append(r.idle, l)
+	r.feed()
+	return l
+}
+
+// Check ends runs whose time is over; it returns when to look again.
+func (r *Runner) Check(now micro.Time) micro.Time {
+	next := micro.Never
+	for _, l := range r.links.Items() {
+		if l.run == nil {
+			continue
+		} else if now < l.due {
+			next = min(next, l.due)
+			continue
+		}
+		r.logf("ajp: runner %s: %s did not end in time", l.conn.Remote(), l.run.ID)
+		l.conn.Close()
+		l.end(routing.Errored, nil)
+	}
+	return next
+}
