Move the fleet runner out of internal/edge: internal/runner/fleetrunner

It takes its configuration, wall clock, core and loop like the other runners, and makes the exchange with other instances itself at Attach. How a run without a result ends stood twice and is one function. The test that looked into its tables asks Knows and ForgetRemoved for the same.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -15,11 +15,11 @@
 	"pewterline/internal/front/thriftfront"
 	"pewterline/internal/holdings"
 	"pewterline/internal/micro"
-	"pewterline/internal/peers"
 	"pewterline/internal/planted"
 	"pewterline/internal/protocol/lease"
 	"pewterline/internal/routing"
 	"pewterline/internal/runner/ajprunner"
+	"pewterline/internal/runner/fleetrunner"
 	"pewterline/internal/transport"
 	"pewterline/internal/vaultlink"
 	"pewterline/internal/workerpool"
@@ -68,10 +68,10 @@
 	settings control.Settings   // as the file has them; cfg's have the places that classes got over time
 	late     map[int]micro.Time // classes that are gone are taken until then, by place
 	pool     *workerpool.Runner
-	vault    *vaultlink.Client // where runs call
-	backends *ajprunner.Runner // nil: no AJP server does the work
-	servers  *fleetRunner
-	held     *holdings.Holdings // copies, with a group of servers; nil: none
+	vault    *vaultlink.Client   // where runs call
+	backends *ajprunner.Runner   // nil: no AJP server does the work
+	servers  *fleetrunner.Runner // nil: no log servers do the work
+	held     *holdings.Holdings  // copies, with a group of servers; nil: none
 	thrift   *thriftfront.Front
 	ajp      *ajpfront.Front
 	host     Host
@@ -101,7 +101,7 @@
 	var runner routing.Runner
 	if len(cfg.Fleet.Members) > 0 {
 		var err error
-		if s.servers, err = newFleetRunner(s); err != nil {
+		if s.servers, err = fleetrunner.New(fleetrunner.Config{Fleet: cfg.Fleet, Name: cfg.Name, Settings: cfg.Settings}, wall, logf); err != nil {
 			return nil, fmt.Errorf("edge: %w", err)
 		}
 		runner = s.servers
@@ -137,9 +137,8 @@
 	if s.held != nil {
 		s.held.Attach(l)
 	}
-	if s.servers != nil && len(s.cfg.Fleet.Peers) > 0 {
-		s.servers.exchange = peers.NewExchange(peers.ExchangeConfig{Name: s.cfg.Name, Address: s.cfg.Fleet.Exchange, Peers: s.cfg.Fleet.Peers, Seed: s.cfg.Settings.Seed},
-			l, s.servers.fleet, s.logf)
+	if s.servers != nil {
+		s.servers.Attach(s.core, l)
 	}
 	if s.backends != nil {
 		s.backends.Attach(s.core, l)
@@ -195,7 +194,7 @@
 	}
 	if s.servers != nil && len(next.Fleet.Members) > 0 && !slices.Equal(next.Fleet.Members, s.cfg.Fleet.Members) {
 		s.cfg.Fleet.Members = next.Fleet.Members
-		s.servers.reload(next.Fleet.Members)
+		s.servers.Reload(next.Fleet.Members)
 		s.logf("edge: configuration read anew: %d log servers", len(next.Fleet.Members))
 	}
 	s.cfg.Stop = next.Stop
@@ -227,8 +226,8 @@
 		return s.acceptCopies(c)
 	case listener == AdminListener:
 		return &adminSession{s: s, conn: c}
-	case listener == ExchangeListener && s.servers != nil && s.servers.exchange != nil:
-		return s.servers.exchange.Accept(c)
+	case listener == ExchangeListener && s.servers != nil && s.servers.Exchange() != nil:
+		return s.servers.Exchange().Accept(c)
 	}
 	return s.thrift.Accept(c)
 }
@@ -267,7 +266,7 @@
 		next = min(next, s.pool.Check(now), s.vault.NextDue())
 	}
 	if s.servers != nil {
-		next = min(next, s.servers.check(now))
+		next = min(next, s.servers.Check(now))
 	}
 	if s.backends != nil {
 		next = min(next, s.backends.Check(now))
@@ -291,7 +290,7 @@
 	if s.servers == nil {
 		return 0
 	}
-	return s.servers.wasted
+	return s.servers.Wasted()
 }
 
 // Drain is the notice to leave, which came at a time up to now: whoever sent it counts from then, however long the program took
--- a/internal/edge/fleet_test.go
+++ b/internal/edge/fleet_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -12,6 +11,7 @@
 	"pewterline/internal/decide/fleet"
 	"pewterline/internal/micro"
 	"pewterline/internal/protocol/thrift"
+	"pewterline/internal/runner/fleetrunner"
 )
 
 // serveEdge runs an edge on real sockets before servers at those addresses.
@@ -147,7 +147,9 @@
 	ask(3, "lot-intake", "k1")
 	require.Empty(t, n2.out, "it may have run on n1")
 	require.Equal(t, "a1", s.dials[0].addr)
-	require.True(t, slices.ContainsFunc(s.srv.servers.members, func(m *fleetMember) bool { return m.Name == "n1" && m.gone > 0 }))
-	s.srv.servers.forgetGone(s.now + goneKept + micro.Second)
-	require.NotNil(t, s.srv.servers.byName["n1"], "something is open there")
+	known, removed := s.srv.servers.Knows("n1")
+	require.True(t, known && removed)
+	s.srv.servers.ForgetRemoved(s.now + fleetrunner.RemovedKept + micro.Second)
+	known, _ = s.srv.servers.Knows("n1")
+	require.True(t, known, "something is open there")
 }
--- /dev/null
+++ b/internal/runner/fleetrunner/runner.go
@@ -0,0 +1,312 @@
+// Package fleetrunner has the work done by log servers, over connections made on demand: the program as an edge. What goes
+// where, and what is tried again, the packages under decide say; here it is carried out.
+package fleetrunner
+
+import (
+	"slices"
+
+	"pewterline/control"
+	"pewterline/internal/config"
+	"pewterline/internal/decide/fleet"
+	"pewterline/internal/micro"
+	"pewterline/internal/ordered"
+	"pewterline/internal/peers"
+	"pewterline/internal/routing"
+)
+
+const (
+	// RemovedKept is how long a server that was taken out of the list is still known: past any window, as an intake that may
+	// have run there goes nowhere else.
+	RemovedKept = 600 * micro.Second
+	// sweepEvery is how often idle connections and servers that were taken out are looked for.
+	sweepEvery = 5 * micro.Second
+	// declineAfter is the least time after which the caller of a run that no server takes is told to come back.
+	declineAfter = 100 * micro.Millisecond
+)
+
+// Core is told how runs end.
+type Core interface {
+	Finished(id string, end routing.End, result []byte)
+	Declined(id string, after micro.Time, last bool)
+}
+
+// Loop is what the runner needs of the event loop.
+type Loop interface {
+	peers.ExchangeLoop
+	Rand() uint64 // need not be secret
+}
+
+// Wall converts to the wall clock, in Unix milliseconds.
+type Wall interface {
+	UnixMilli(t micro.Time) int64
+}
+
+// Config says which log servers do the work, and by which settings. All but the list of servers holds until a restart.
+type Config struct {
+	config.Fleet
+	Name     string // of this instance
+	Settings control.Settings
+}
+
+// Runner hands runs to the log servers. All its methods are called on the loop.
+type Runner struct {
+	config    Config
+	core      Core
+	loop      Loop
+	wall      Wall
+	logf      func(format string, args ...any)
+	fleet     *fleet.Fleet
+	attempts  *fleet.Attempts
+	members   []*member
+	byName    map[string]*member
+	runs      map[string]*run
+	work      ordered.Set[*run] // the same, in an order of its own
+	pending   []*run            // that cannot be sent now; told in the turn's check, never from within Start
+	sweepAt   micro.Time
+	wasted    int             // tries that came to nothing for want of a server
+	exchange  *peers.Exchange // nil: this instance has no others to talk with
+	unadvised []*run          // until its first advice
+	scratch   []byte
+}
+
+// member is one log server.
+type member struct {
+	config.Member
+	links   []*link
+	removed micro.Time // it was taken out of the list then; 0: it is in
+}
+
+// run is a run that has not ended.
+type run struct {
+	ordered.Position
+	routing.Run
+	req      *routing.Request
+	class    control.Class
+	due      micro.Time
+	key      fleet.Key
+	keyed    bool
+	tries    []*try // that are out
+	count    int    // so far
+	unproven int    // tries that were written and ended without proof that they did not run
+	avoid    []string
+	hedge    micro.Time // when a second copy may go out; Never: not
+	again    micro.Time // when it is to be sent again; Never: it is out
+	after    micro.Time // of the last refusal
+	last     bool
+	declined bool
+}
+
+// unlessDoubtful is how a run ends without a result: as given, unless it is an intake that may have run.
+func (q *run) unlessDoubtful(end routing.End) routing.End {
+	if q.keyed && q.unproven > 0 {
+		return routing.Doubtful
+	}
+	return end
+}
+
+// New returns a runner without connections. Attach must follow. The error names a faulty figure of the decisions.
+func New(cfg Config, wall Wall, logf func(format string, args ...any)) (*Runner, error) {
+	cfg.Decide.Classes = len(cfg.Settings.Classes)
+	servers, err := fleet.New(cfg.Decide, cfg.Settings.Seed)
+	if err != nil {
+		return nil, err
+	}
+	attempts, err := fleet.NewAttempts(cfg.Attempts)
+	if err != nil {
+		return nil, err
+	}
+	r := &Runner{config: cfg, wall: wall, logf: logf, fleet: servers, attempts: attempts, byName: map[string]*member{}, runs: map[string]*run{}}
+	for _, m := range cfg.Members {
+		r.add(0, m)
+	}
+	return r, nil
+}
+
+// Attach ties the runner to its core and its loop.
+func (r *Runner) Attach(core Core, loop Loop) {
+	r.core, r.loop = core, loop
+	if len(r.config.Peers) > 0 {
+		own := peers.ExchangeConfig{Name: r.config.Name, Address: r.config.Exchange, Peers: r.config.Peers, Seed: r.config.Settings.Seed}
+		r.exchange = peers.NewExchange(own, loop, r.fleet, r.logf)
+	}
+}
+
+// Exchange is where this instance and others tell each other of the log servers; nil: there are no others.
+func (r *Runner) Exchange() *peers.Exchange { return r.exchange }
+
+// Wasted counts the tries that came to nothing for want of a server.
+func (r *Runner) Wasted() int { return r.wasted }
+
+// Knows tells whether a server is known, and whether it was taken out of the list.
+func (r *Runner) Knows(name string) (known, removed bool) {
+	m := r.byName[name]
+	return m != nil, m != nil && m.removed > 0
+}
+
+// add takes up a server that is not known yet.
+func (r *Runner) add(now micro.Time, listed config.Member) {
+	m := &member{Member: listed}
+	r.members = append(r.members, m)
+	r.byName[m.Name] = m
+	r.fleet.Add(now, m.Name)
+}
+
+func (r *Runner) now() micro.Time { return r.loop.Now() }
+
+// Start is part of routing.Runner.
+func (r *Runner) Start(started routing.Run) {
+	class := r.config.Settings.Classes[started.Request.Class]
+	q := &run{Run: started, req: started.Request, class: class, hedge: micro.Never, again: micro.Never}
+	q.due = q.req.At + micro.Of(q.class.Deadline)
+	q.keyed, q.key = q.class.Effect == control.Keyed, fleet.Key{Tenant: q.req.Tenant, Once: q.req.Once}
+	r.runs[q.ID] = q
+	r.work.Add(q)
+	r.attempts.First(r.now(), q.req.Caller)
+	r.route(q)
+}
+
+// Reload takes up a list of servers that was read anew. What is out stays out until it has ended; a server that was taken
+// out gets nothing new but repeats of intakes that it may have run.
+func (r *Runner) Reload(members []config.Member) {
+	now := r.now()
+	in := map[string]bool{}
+	for _, m := range members {
+		in[m.Name] = true
+		if known := r.byName[m.Name]; known != nil {
+			r.list(now, known, m.Address)
+		} else {
+			r.add(now, m)
+		}
+	}
+	for _, m := range r.members {
+		if !in[m.Name] && m.removed == 0 {
+			m.removed = now
+			r.fleet.Remove(m.Name)
+		}
+	}
+}
+
+// list takes up a server that is known and on the list. What is open at an address that it has left ends; new connections go to
+// the new one.
+func (r *Runner) list(now micro.Time, m *member, address string) {
+	if m.Address != address {
+		m.Address = address
+		for _, l := range m.links {
+			l.closing = true
+			l.closeAnswered()
+		}
+	}
+	m.removed = 0
+	r.fleet.Add(now, m.Name)
+}
+
+// ForgetRemoved drops servers that were taken out long ago.
+func (r *Runner) ForgetRemoved(now micro.Time) {
+	r.members = slices.DeleteFunc(r.members, func(m *member) bool {
+		drop := m.removed > 0 && now > m.removed+RemovedKept && len(m.links) == 0
+		if drop {
+			delete(r.byName, m.Name)
+		}
+		return drop
+	})
+}
+
+// Stop is part of routing.Runner: the tries that are out are given up.
+func (r *Runner) Stop(id string) {
+	if q := r.runs[id]; q != nil {
+		r.withdraw(q, fleet.Withdrawn)
+		r.finish(q, q.unlessDoubtful(routing.Stopped), nil)
+	}
+}
+
+// Poll is part of routing.Runner. The servers' gauges are their own.
+func (r *Runner) Poll() {}
+
+func (r *Runner) drop(q *run) {
+	delete(r.runs, q.ID)
+	r.work.Remove(q)
+}
+
+func (r *Runner) finish(q *run, end routing.End, result []byte) {
+	r.drop(q)
+	r.core.Finished(q.ID, end, result)
+}
+
+// Check does what is due by the clock; it returns when to look again.
+func (r *Runner) Check(now micro.Time) micro.Time {
+	pending := r.pending
+	r.pending = nil
+	for _, q := range pending {
+		if r.runs[q.ID] == q && q.declined {
+			r.decline(q)
+		}
+	}
+	next := micro.Never
+	if now >= r.sweepAt {
+		r.sweepAt = now + sweepEvery
+		r.fleet.Sweep(now)
+		r.closeIdle(now)
+		r.ForgetRemoved(now)
+	}
+	if r.exchange != nil {
+		next = r.exchange.Check(now)
+		if r.exchange.Ready(now) && len(r.unadvised) > 0 {
+			r.routeUnadvised()
+			next = now
+		}
+	}
+	if len(r.runs) > 0 {
+		next = min(next, r.checkRuns(now))
+	}
+	if len(pending) > 0 {
+		next = now
+	}
+	return min(next, r.sweepAt)
+}
+
+// routeUnadvised sends the runs that waited for the first advice.
+func (r *Runner) routeUnadvised() {
+	unadvised := r.unadvised
+	r.unadvised = nil
+	for _, q := range unadvised {
+		if r.runs[q.ID] == q {
+			r.route(q)
+		}
+	}
+}
+
+func (r *Runner) checkRuns(now micro.Time) micro.Time {
+	next := micro.Never
+	for i := r.work.Len() - 1; i >= 0; i-- { // from the end, as one that ends gives its place to the last
+		if i >= r.work.Len() {
+			continue
+		}
+		switch q := r.work.Items()[i]; {
+		case now >= q.due:
+			r.withdraw(q, fleet.TimedOut)
+			r.finish(q, q.unlessDoubtful(routing.Errored), nil)
+			continue
+		case now >= q.again:
+			r.route(q)
+			next = min(next, q.due)
+		case now >= q.hedge && len(q.tries) == 1:
+			r.sendHedge(q)
+			next = min(next, q.due)
+		default:
+			next = min(next, q.due, q.again, q.hedge)
+		}
+	}
+	return next
+}
+
+// closeIdle ends connections that have had nothing open for a while.
+func (r *Runner) closeIdle(now micro.Time) {
+	for _, m := range r.members {
+		for _, l := range slices.Clone(m.links) {
+			if l.conn != nil && len(l.open) == 0 && now > l.idle+idleTimeout {
+				l.conn.Close()
+				l.closing = true
+			}
+		}
+	}
+}
