--- a/internal/edge/admin_test.go
+++ b/internal/edge/admin_test.go
@@ -12,16 +12,17 @@
 
 	"pewterline/internal/config"
 	"pewterline/internal/micro"
+	"pewterline/internal/operators"
 	"pewterline/internal/transport"
 	"pewterline/internal/transport/sockets"
 )
 
-var operators int
+var callCount int
 
 // call has an operator call; it returns the status line and the body.
 func (s *stage) call(line string) (string, string) {
-	operators++
-	l := s.connect(fmt.Sprintf("op%d", operators), AdminListener)
+	callCount++
+	l := s.connect(fmt.Sprintf("op%d", callCount), AdminListener)
 	s.deliver(l, []byte(line+" HTTP/1.1\r\nHost: n0\r\n\r\n"))
 	require.True(s.t, l.closed, "one call on a connection")
 	head, body, _ := strings.Cut(string(l.out), "\r\n\r\n")
@@ -37,8 +38,8 @@
 
 // probed is the answer to a health check.
 func (s *stage) probed() bool {
-	operators++
-	l := s.connect(fmt.Sprintf("check%d", operators), 0)
+	callCount++
+	l := s.connect(fmt.Sprintf("check%d", callCount), 0)
 	s.deliver(l, []byte(probeCall))
 	l.closed = true
 	s.turn()
@@ -88,7 +89,7 @@
 	}
 }
 
-func (s *stage) counters() (c Counters) {
+func (s *stage) counters() (c operators.Counters) {
 	_, body := s.call("GET /control/counters")
 	require.NoError(s.t, json.Unmarshal([]byte(body), &c))
 	return c
@@ -108,7 +109,7 @@
 	l.tell("finished 3 00000000000000a4 PASS 5 2\r\nok\r\n")
 	require.NoError(t, l.srv.Reload(l.srv.cfg))
 	l.srv.FileRefused()
-	require.Equal(t, Counters{
+	require.Equal(t, operators.Counters{
 		Passed: map[string]int{"block-view": 1, "lot-update": 0, "lot-intake": 0}, Dropped: map[string]int{"block-view": 0, "lot-update": 0, "lot-intake": 0},
 		BadGateway: map[string]int{"block-view": 0, "lot-update": 0, "lot-intake": 2}, Tries: 3, Loads: 1, LoadErrors: 1,
 	}, l.counters())
--- a/internal/edge/copies.go
+++ b/internal/edge/copies.go
@@ -2,18 +2,10 @@
 
 import (
 	"errors"
-	"fmt"
-	"net/http"
-	"net/url"
-	"slices"
-	"strconv"
-	"strings"
-
-	"pewterline/internal/decide/copies"
+
 	"pewterline/internal/decide/ledger"
 	"pewterline/internal/holdings"
 	"pewterline/internal/micro"
-	"pewterline/internal/protocol/admin"
 	"pewterline/internal/routing"
 	"pewterline/internal/transport"
 )
@@ -22,13 +14,13 @@
 	// CopiesListener is the index of the listener for the other servers of a group that holds copies.
 	CopiesListener = 5
 	// leaveLead is how long before it is due a try hears what is known by then.
-	leaveLead  = 150 * micro.Millisecond
-	exportMost = 100 // keys of one answer
+	leaveLead = 150 * micro.Millisecond
 )
 
 // UseCopies has intakes put on record with a group of servers. It comes before Attach.
 func (s *Server) UseCopies(h *holdings.Holdings) {
 	s.held = h
+	s.operators.UseCopies(h)
 	s.core.UseRecorder(&copier{s, h})
 }
 
@@ -134,98 +126,3 @@
 		done(nil)
 	})
 }
-
-// The operators' calls about copies.
-type copiesState struct {
-	ID       uint32            `json:"id"`
-	Life     string            `json:"life"`
-	Group    string            `json:"group"`
-	Epoch    uint64            `json:"epoch"`
-	Copies   int               `json:"copies"`
-	Changing bool              `json:"changing"`
-	Marked   int               `json:"changing_marked"` // members that have brought on what they hold
-	Why      string            `json:"why"`
-	Lost     int64             `json:"lost_ms"`
-	Voting   bool              `json:"voting"`
-	Members  []holdings.Member `json:"members"`
-	Counters holdings.Counters `json:"counters"`
-}
-
-func (s *Server) copiesState(url.Values) (any, error) {
-	g, v := s.held.Group(), s.held.View()
-	return copiesState{ID: v.Self.ID, Life: fmt.Sprintf("%x", v.Self.Life), Group: fmt.Sprintf("%x", g.Name), Epoch: g.Epoch, Copies: g.Copies, Changing: len(g.Next) > 0,
-		Marked: v.Marked, Why: g.Why, Lost: g.Lost, Voting: v.Voting, Members: v.Members, Counters: s.held.Count()}, nil
-}
-
-func number(q url.Values, name string) (uint32, error) {
-	n, err := strconv.ParseUint(q.Get(name), 10, 32)
-	if err != nil || n == 0 {
-		return 0, &admin.Error{Status: http.StatusBadRequest, Text: fmt.Sprintf("%s: %q is not the number of a server", name, q.Get(name))}
-	}
-	return uint32(n), nil
-}
-
-// changed tells what a change of members has come to.
-func (s *Server) changed(err error) (any, error) {
-	switch {
-	case err == nil:
-		return s.copiesState(nil)
-	case errors.Is(err, copies.ErrChanging), errors.Is(err, copies.ErrMember), errors.Is(err, copies.ErrNoGroup):
-		return nil, &admin.Error{Status: http.StatusConflict, Text: err.Error()}
-	}
-	return nil, &admin.Error{Status: http.StatusBadRequest, Text: err.Error()}
-}
-
-var copiesCalls = map[string]struct {
-	method string
-	obey   func(*Server, url.Values) (any, error)
-}{
-	"/control/copies":         {http.MethodGet, (*Server).copiesState},
-	"/control/copies/found":   {http.MethodPut, func(s *Server, _ url.Values) (any, error) { return s.changed(s.held.Found()) }},
-	"/control/copies/give-up": {http.MethodPut, func(s *Server, _ url.Values) (any, error) { return s.changed(s.held.GiveUp()) }},
-	"/control/copies/repair": {http.MethodPut, func(s *Server, _ url.Values) (any, error) {
-		s.held.Repair()
-		return s.copiesState(nil)
-	}},
-	"/control/copies/add": {http.MethodPut, func(s *Server, q url.Values) (any, error) {
-		id, err := number(q, "id")
-		if err != nil {
-			return nil, err
-		}
-		return s.changed(s.held.Add(id, q.Get("address"), q.Get("why")))
-	}},
-	"/control/copies/remove": {http.MethodPut, func(s *Server, q url.Values) (any, error) {
-		id, err := number(q, "id")
-		if err != nil {
-			return nil, err
-		}
-		return s.changed(s.held.Remove(id, q.Get("why")))
-	}},
-	"/control/copies/force": {http.MethodPut, func(s *Server, q url.Values) (any, error) {
-		var keep []uint32
-		for _, text := range strings.Split(q.Get("keep"), ",") {
-			id, err := number(url.Values{"keep": {text}}, "keep")
-			if err != nil {
-				return nil, err
-			}
-			keep = append(keep, id)
-		}
-		return s.changed(s.held.Force(slices.Compact(keep), q.Get("why")))
-	}},
-	"/control/copies/export": {http.MethodGet, func(s *Server, q url.Values) (any, error) {
-		return s.held.Export(q.Get("after"), exportMost), nil
-	}},
-}
-
-// obeyCopies carries out an operator's call about copies; false where it is none.
-func (s *Server) obeyCopies(c admin.Call) (body any, known bool, err error) {
-	call, ok := copiesCalls[c.Path]
-	switch {
-	case !ok || s.held == nil:
-		return nil, false, nil
-	case c.Method != call.method:
-		return nil, true, &admin.Error{Status: http.StatusMethodNotAllowed, Text: fmt.Sprintf("%s takes %s, not %s", c.Path, call.method, c.Method), Allow: call.method}
-	}
-	body, err = call.obey(s, c.Query)
-	return body, true, err
-}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -15,6 +15,7 @@
 	"pewterline/internal/front/thriftfront"
 	"pewterline/internal/holdings"
 	"pewterline/internal/micro"
+	"pewterline/internal/operators"
 	"pewterline/internal/planted"
 	"pewterline/internal/protocol/lease"
 	"pewterline/internal/routing"
@@ -58,29 +59,30 @@
 
 // Server is the program on one loop.
 type Server struct {
-	cfg      config.Config
-	core     *routing.Core
-	loop     Loop
-	logf     func(string, ...any)
-	wall     Wall
-	classes  map[string]int
-	tenants  map[string]int
-	settings control.Settings   // as the file has them; cfg's have the places that classes got over time
-	late     map[int]micro.Time // classes that are gone are taken until then, by place
-	pool     *workerpool.Runner
-	vault    *vaultlink.Client   // where runs call
-	backends *ajprunner.Runner   // nil: no AJP server does the work
-	servers  *fleetrunner.Runner // nil: no log servers do the work
-	held     *holdings.Holdings  // copies, with a group of servers; nil: none
-	thrift   *thriftfront.Front
-	ajp      *ajpfront.Front
-	host     Host
-	peer     *peerProcess // the other process, in an upgrade
-	handed   bool         // it has taken over from this one
-	handedAt micro.Time
-	out      bool                         // of service, by the operators' word
-	files    struct{ taken, refused int } // at SIGHUP
-	requests int                          // taken by the core so far
+	cfg       config.Config
+	core      *routing.Core
+	loop      Loop
+	logf      func(string, ...any)
+	wall      Wall
+	classes   map[string]int
+	tenants   map[string]int
+	settings  control.Settings   // as the file has them; cfg's have the places that classes got over time
+	late      map[int]micro.Time // classes that are gone are taken until then, by place
+	pool      *workerpool.Runner
+	vault     *vaultlink.Client   // where runs call
+	backends  *ajprunner.Runner   // nil: no AJP server does the work
+	servers   *fleetrunner.Runner // nil: no log servers do the work
+	held      *holdings.Holdings  // copies, with a group of servers; nil: none
+	thrift    *thriftfront.Front
+	ajp       *ajpfront.Front
+	operators *operators.Handler
+	host      Host
+	peer      *peerProcess // the other process, in an upgrade
+	handed    bool         // it has taken over from this one
+	handedAt  micro.Time
+	out       bool                         // of service, by the operators' word
+	files     struct{ taken, refused int } // at SIGHUP
+	requests  int                          // taken by the core so far
 
 	nextReport, nextSweep micro.Time
 	reported              bool       // the health last reported
@@ -97,6 +99,7 @@
 		settings: cfg.Settings, late: map[int]micro.Time{},
 	}
 	s.thrift, s.ajp = thriftfront.New(frontServer{s}), ajpfront.New(frontServer{s}, cfg.AJP)
+	s.operators = operators.New(operatorServer{s}, logf)
 	s.name()
 	var runner routing.Runner
 	if len(cfg.Fleet.Members) > 0 {
@@ -225,7 +228,7 @@
 	case listener == CopiesListener && s.held != nil:
 		return s.acceptCopies(c)
 	case listener == AdminListener:
-		return &adminSession{s: s, conn: c}
+		return s.operators.Accept(c)
 	case listener == ExchangeListener && s.servers != nil && s.servers.Exchange() != nil:
 		return s.servers.Exchange().Accept(c)
 	}
--- a/internal/lab/tables_test.go
+++ b/internal/lab/tables_test.go
@@ -54,7 +54,7 @@
 func ours(t reflect.Type) bool {
 	p := t.PkgPath()
 	for _, own := range []string{"control", "internal/edge", "internal/front", "internal/front/ajpfront", "internal/front/thriftfront",
-		"internal/ordered", "internal/routing", "internal/runner/ajprunner", "internal/runner/fleetrunner",
+		"internal/operators", "internal/ordered", "internal/routing", "internal/runner/ajprunner", "internal/runner/fleetrunner",
 		"internal/workerpool", "internal/vaultlink", "internal/decide/calls", "internal/transport", "internal/config"} {
 		if p == "pewterline/"+own {
 			return true
