--- a/control/learned.go
+++ b/control/learned.go
@@ -66,7 +66,7 @@
 // mostSaid is the highest free value that makes sense.
 func (c *Controller) mostSaid() float64 {
 	if c.s.Signal == SignalAllowance {
-		return allowMost * 100 * float64(c.s.Cores)
+		return allowMost * c.limit
 	}
 	return 1
 }
