--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -1,5 +1,5 @@
-// Package edge joins the layers: its sessions carry bytes between transport's connections, the protocols'
-// parsers and the core, and its Server ties them to one loop. It decides nothing about requests.
+// Package edge joins the layers: its Server ties the fronts, the core and what does the work to one loop. It decides nothing
+// about requests.
 package edge
 
 import (
@@ -10,12 +10,17 @@
 
 	"pewterline/control"
 	"pewterline/internal/config"
+	"pewterline/internal/front"
+	"pewterline/internal/front/ajpfront"
+	"pewterline/internal/front/thriftfront"
 	"pewterline/internal/holdings"
 	"pewterline/internal/micro"
-	"pewterline/internal/peers"
+	"pewterline/internal/operators"
 	"pewterline/internal/planted"
 	"pewterline/internal/protocol/lease"
 	"pewterline/internal/routing"
+	"pewterline/internal/runner/ajprunner"
+	"pewterline/internal/runner/fleetrunner"
 	"pewterline/internal/transport"
 	"pewterline/internal/vaultlink"
 	"pewterline/internal/workerpool"
@@ -27,7 +32,6 @@
 	reportEvery  = 200 * micro.Millisecond
 	sweepEvery   = 250 * micro.Millisecond // looks for idle connections
 	stopLead     = 100 * micro.Millisecond // we are gone this long before the process would be stopped
-	lingerMost   = 2 * micro.Second        // for the peer of a connection that was told farewell
 	shutdownMost = 500 * micro.Millisecond // for the peers of the last connections to close them
 )
 
@@ -55,29 +59,30 @@
 
 // Server is the program on one loop.
 type Server struct {
-	cfg      config.Config
-	core     *routing.Core
-	loop     Loop
-	logf     func(string, ...any)
-	wall     Wall
-	classes  map[string]int
-	tenants  map[string]int
-	settings control.Settings   // as the file has them; cfg's have the places that classes got over time
-	late     map[int]micro.Time // classes that are gone are taken until then, by place
-	pool     *workerpool.Runner
-	vault    *vaultlink.Client // where runs call
-	backends *ajpRunner
-	servers  *fleetRunner
-	held     *holdings.Holdings // copies, with a group of servers; nil: none
-	fronts   bag[*thriftSession]
-	offices  bag[*ajpSession]
-	host     Host
-	peer     *peerProcess // the other process, in an upgrade
-	handed   bool         // it has taken over from this one
-	handedAt micro.Time
-	out      bool                         // of service, by the operators' word
-	files    struct{ taken, refused int } // at SIGHUP
-	requests int                          // taken by the core so far
+	cfg       config.Config
+	core      *routing.Core
+	loop      Loop
+	logf      func(string, ...any)
+	wall      Wall
+	classes   map[string]int
+	tenants   map[string]int
+	settings  control.Settings   // as the file has them; cfg's have the places that classes got over time
+	late      map[int]micro.Time // classes that are gone are taken until then, by place
+	pool      *workerpool.Runner
+	vault     *vaultlink.Client   // where runs call
+	backends  *ajprunner.Runner   // nil: no AJP server does the work
+	servers   *fleetrunner.Runner // nil: no log servers do the work
+	held      *holdings.Holdings  // copies, with a group of servers; nil: none
+	thrift    *thriftfront.Front
+	ajp       *ajpfront.Front
+	operators *operators.Handler
+	host      Host
+	peer      *peerProcess // the other process, in an upgrade
+	handed    bool         // it has taken over from this one
+	handedAt  micro.Time
+	out       bool                         // of service, by the operators' word
+	files     struct{ taken, refused int } // at SIGHUP
+	requests  int                          // taken by the core so far
 
 	nextReport, nextSweep micro.Time
 	reported              bool       // the health last reported
@@ -93,16 +98,18 @@
 		cfg: cfg, logf: logf, wall: wall, classes: map[string]int{}, tenants: map[string]int{}, reported: true,
 		settings: cfg.Settings, late: map[int]micro.Time{},
 	}
+	s.thrift, s.ajp = thriftfront.New(frontServer{s}), ajpfront.New(frontServer{s}, cfg.AJP)
+	s.operators = operators.New(operatorServer{s}, logf)
 	s.name()
 	var runner routing.Runner
 	if len(cfg.Fleet.Members) > 0 {
 		var err error
-		if s.servers, err = newFleetRunner(s); err != nil {
+		if s.servers, err = fleetrunner.New(fleetrunner.Config{Fleet: cfg.Fleet, Name: cfg.Name, Settings: cfg.Settings}, wall, logf); err != nil {
 			return nil, fmt.Errorf("edge: %w", err)
 		}
 		runner = s.servers
 	} else if cfg.AJP.Runner != "" {
-		s.backends = newAJPRunner(s)
+		s.backends = ajprunner.New(ajprunner.Config{AJP: cfg.AJP, RunTimeout: longestAnswer(cfg.Settings.Classes)}, logf)
 		runner = s.backends
 	} else {
 		s.pool = workerpool.New(workerpool.Config{Address: cfg.Pool, Gauges: cfg.Gauges}, logf)
@@ -119,15 +126,25 @@
 	return s, nil
 }
 
+// longestAnswer is how long any answer could be wanted.
+func longestAnswer(classes []control.Class) (longest micro.Time) {
+	for _, c := range classes {
+		longest = max(longest, micro.Of(c.Deadline), micro.Of(c.Window))
+	}
+	return longest
+}
+
 // Attach starts the server on its loop; it is called there.
 func (s *Server) Attach(l Loop) {
 	s.loop = l
 	if s.held != nil {
 		s.held.Attach(l)
 	}
-	if s.servers != nil && len(s.cfg.Fleet.Peers) > 0 {
-		s.servers.exchange = peers.NewExchange(peers.ExchangeConfig{Name: s.cfg.Name, Address: s.cfg.Fleet.Exchange, Peers: s.cfg.Fleet.Peers, Seed: s.cfg.Settings.Seed},
-			l, s.servers.fleet, s.logf)
+	if s.servers != nil {
+		s.servers.Attach(s.core, l)
+	}
+	if s.backends != nil {
+		s.backends.Attach(s.core, l)
 	}
 	if s.pool != nil {
 		s.vault.Attach(l, s.core.CallEnded)
@@ -180,7 +197,7 @@
 	}
 	if s.servers != nil && len(next.Fleet.Members) > 0 && !slices.Equal(next.Fleet.Members, s.cfg.Fleet.Members) {
 		s.cfg.Fleet.Members = next.Fleet.Members
-		s.servers.reload(next.Fleet.Members)
+		s.servers.Reload(next.Fleet.Members)
 		s.logf("edge: configuration read anew: %d log servers", len(next.Fleet.Members))
 	}
 	s.cfg.Stop = next.Stop
@@ -205,17 +222,17 @@
 func (s *Server) Accept(listener int, c transport.Link) transport.Session {
 	switch {
 	case listener == 1:
-		return s.acceptAJP(c)
+		return s.ajp.Accept(c)
 	case listener == HandoverListener:
 		return s.acceptHandover(c)
 	case listener == CopiesListener && s.held != nil:
 		return s.acceptCopies(c)
 	case listener == AdminListener:
-		return &adminSession{s: s, conn: c}
-	case listener == ExchangeListener && s.servers != nil && s.servers.exchange != nil:
-		return s.servers.exchange.Accept(c)
+		return s.operators.Accept(c)
+	case listener == ExchangeListener && s.servers != nil && s.servers.Exchange() != nil:
+		return s.servers.Exchange().Accept(c)
 	}
-	return s.acceptThrift(c)
+	return s.thrift.Accept(c)
 }
 
 // Turn ends a turn of the loop: one step of the core, then what is due by the clock.
@@ -232,7 +249,7 @@
 	}
 	if now >= s.nextSweep {
 		s.nextSweep = now + sweepEvery
-		s.closeIdle(now)
+		s.thrift.CloseIdle(now, s.core.IdleAfter())
 	}
 	next := min(s.core.NextDue(), s.nextSweep)
 	if !s.handed {
@@ -247,17 +264,15 @@
 	if len(s.late) > 0 {
 		next = min(next, s.forgetLate(now))
 	}
-	for _, a := range s.offices.items {
-		next = min(next, a.check(now))
-	}
+	next = min(next, s.ajp.Check(now))
 	if s.pool != nil {
 		next = min(next, s.pool.Check(now), s.vault.NextDue())
 	}
 	if s.servers != nil {
-		next = min(next, s.servers.check(now))
+		next = min(next, s.servers.Check(now))
 	}
 	if s.backends != nil {
-		next = min(next, s.backends.check(now))
+		next = min(next, s.backends.Check(now))
 	}
 	if s.draining {
 		next = min(next, s.drain(now))
@@ -273,40 +288,12 @@
 	s.loop.Send(lease.Append(nil, s.cfg.Name, s.reported))
 }
 
-// closeIdle bids farewell to connections that have been idle for as long as the core wishes to keep them: the
-// peer closes them, so that no request crosses the close. One that does not is closed after a while.
-func (s *Server) closeIdle(now micro.Time) {
-	after := s.core.IdleAfter()
-	for _, t := range s.fronts.items {
-		if !t.Idle() {
-			continue
-		}
-		if idle := now - t.last; t.bidden && idle > lingerMost {
-			t.conn.Close()
-		} else if !t.bidden && after > 0 && idle >= after {
-			t.farewell(now)
-		}
-	}
-}
-
 // Wasted counts the tries that came to nothing for want of a server, where this is an edge.
 func (s *Server) Wasted() int {
 	if s.servers == nil {
 		return 0
 	}
-	return s.servers.wasted
-}
-
-// submit hands a request to the core.
-func (s *Server) submit(r routing.Request) (control.ID, error) {
-	id, err := s.core.Submit(s.loop.Now(), r)
-	switch {
-	case err == nil:
-		s.requests++
-	case r.Class >= 0 && r.Class < len(s.cfg.Settings.Classes):
-		s.core.Malformed(r.Class)
-	}
-	return id, err
+	return s.servers.Wasted()
 }
 
 // Drain is the notice to leave, which came at a time up to now: whoever sent it counts from then, however long the program took
@@ -348,18 +335,13 @@
 // then nobody is accepted any more and farewell is bid, and the end waits for the peers to have closed, so that no request is
 // cut off unread.
 func (s *Server) drain(now micro.Time) micro.Time {
-	quiet := min(s.drainAt+micro.Of(s.cfg.Settings.DrainGrace), s.stopAt-lingerMost/4)
+	quiet := min(s.drainAt+micro.Of(s.cfg.Settings.DrainGrace), s.stopAt-front.LingerTimeout/4)
 	if now >= quiet && !s.farewell {
 		s.farewell = true
 		s.closeListeners()
-		for _, t := range s.fronts.items {
-			t.farewell(now)
-		}
-		for _, a := range s.offices.items {
-			a.leave()
-		}
+		s.sayFarewell(now)
 	}
-	done := s.farewell && (s.listening == 0 && s.core.Drained() && s.fronts.len()+s.offices.len() == 0 || planted.Bug(planted.LeaveOpen))
+	done := s.farewell && (s.listening == 0 && s.core.Drained() && s.connections() == 0 || planted.Bug(planted.LeaveOpen))
 	if (done || now >= s.stopAt) && !s.stopped {
 		s.logf("edge: drained after %d requests, %d are open", s.requests, s.core.Open())
 		s.shutdown(now)
