--- a/internal/procs/caller.go
+++ b/internal/procs/caller.go
@@ -97,9 +97,8 @@
 
 // Asked is a request that was sent.
 type Asked struct {
-	ID  string
-	seq int32
-	w   chan thrift.Reply
+	ID string
+	w  chan thrift.Reply
 }
 
 // Answer waits for the answer.
@@ -148,25 +147,11 @@
 		delete(k.waiting, k.seq)
 		return Asked{}, ErrUnheard
 	}
-	return Asked{id, k.seq, w}, nil
-}
-
-// GiveUp says that a request's answer is not waited for any more.
-func (k *Conn) GiveUp(a Asked) error {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	delete(k.waiting, a.seq)
-	_, err := k.c.Write(thrift.AppendGiveUp(nil, a.seq))
-	return err
+	return Asked{id, w}, nil
 }
 
 // Probe is a health check on a connection of its own.
-func Probe(addr string) (good bool, err error) { return probe(addr, false) }
-
-// ProbeDeep is one that asks whether work gets done.
-func ProbeDeep(addr string) (good bool, err error) { return probe(addr, true) }
-
-func probe(addr string, deep bool) (good bool, err error) {
+func Probe(addr string) (good bool, err error) {
 	k, err := Dial(addr)
 	if err != nil {
 		return false, err
@@ -175,7 +160,7 @@
 	k.mu.Lock()
 	w := make(chan thrift.Reply, 1)
 	k.waiting[1] = w
-	_, err = k.c.Write(thrift.AppendProbe(nil, 1, deep))
+	_, err = k.c.Write(thrift.AppendProbe(nil, 1, false))
 	k.mu.Unlock()
 	if err != nil {
 		return false, err
--- a/internal/procs/procs.go
+++ b/internal/procs/procs.go
@@ -1,5 +1,5 @@
-// Package procs starts real processes of the program for tests, with stand-ins for their worker pools and callers, and
-// ends only what it started. All addresses are ephemeral ports of the loopback.
+// Package procs starts real processes of the program for tests, with stand-ins for their worker pools, the vault and callers,
+// and ends only what it started. All addresses are ephemeral ports of the loopback.
 package procs
 
 import (
