Break the vault's connection in the middle of a reply in the test of effects

Cause: a reply cut in the middle was met by no test over a real connection. Change: Call.BreakReply, and a row of the table. Measured: GOMAXPROCS=2 go test -race -count=10 ./internal/edge -run of the tests of calls: ok, 11 s.

--- a/internal/edge/calls_test.go
+++ b/internal/edge/calls_test.go
@@ -329,6 +329,7 @@
 		"failed":  func(_ *callHouse, c *procs.Call) { c.Reply(vault.Failed, "") },
 		"overdue": func(_ *callHouse, c *procs.Call) { c.Reply(vault.Overdue, "") },
 		"broken":  func(h *callHouse, _ *procs.Call) { h.vault.Break() },
+		"halved":  func(_ *callHouse, c *procs.Call) { c.BreakReply() },
 	} {
 		t.Run(name, func(t *testing.T) {
 			h := newCallHouse(t, nil)
--- a/internal/procs/vault.go
+++ b/internal/procs/vault.go
@@ -158,6 +158,15 @@
 	c.vault.reply(c, s, body)
 }
 
+// BreakReply breaks the connection of a call in the middle of its reply.
+func (c *Call) BreakReply() {
+	c.vault.mu.Lock()
+	defer c.vault.mu.Unlock()
+	reply := vault.AppendReply(nil, c.ID, vault.Yes, []byte(c.Body))
+	_, _ = c.on.link.Write(reply[:len(reply)-3]) // without the end of the body and its line end
+	_ = c.on.link.Close()
+}
+
 // CloseConn closes the connection of a call, and returns once the log server has closed it as well: all that was sent on it has
 // been read by then.
 func (c *Call) CloseConn() error {
