--- a/internal/routing/calls_test.go
+++ b/internal/routing/calls_test.go
@@ -161,3 +161,55 @@
 	_, says = next.Say()
 	require.False(t, says, "0 would have callers send nothing")
 }
+
+// Memory that runs short turns newcomers away and leaves a run at its call alone: its reply still goes to it.
+func TestMemoryShortWhileCalling(t *testing.T) {
+	const held, memory = 100, 1000 // KB
+	c := &caller{bench: &bench{t: t, now: 100 * micro.Second}}
+	s := callingSettings()
+	s.MemoryKB, s.RunFactor = memory, 8
+	var err error
+	c.core, err = New(s, c, t.Logf)
+	require.NoError(t, err)
+	c.core.UseCallee(c)
+	submit := func(id string) *reply {
+		r := &reply{}
+		_, err := c.core.Submit(c.now, Request{RunID: id, Class: 2, At: c.now, HeldKB: held, Reply: r})
+		require.NoError(t, err)
+		return r
+	}
+	first := submit("first") // 800 KB while it runs
+	c.step()
+	c.core.Blocked("first", []byte("call"))
+	c.step()
+	var refused int
+	for n := range 5 {
+		r := submit(fmt.Sprint(n))
+		c.step()
+		if len(r.got) > 0 {
+			require.Equal(t, Refused, r.got[0].Status)
+			refused++
+		}
+	}
+	require.Positive(t, refused)
+	require.Equal(t, []string{"first"}, c.started)
+	c.core.CallEnded(c.now, "first", calls.Answered, []byte("reply"))
+	c.core.Finished("first", Passed, nil)
+	require.Equal(t, []string{"ask first call false", "supply first reply"}, c.does())
+	require.Equal(t, Served, first.got[0].Status)
+}
+
+// Settings that drop the class, and all calls, while a call is in hand change nothing for its request.
+func TestRetuneWhileCalling(t *testing.T) {
+	c := newCaller(t)
+	got, id, _ := c.blocked(2)
+	next := callingSettings()
+	next.Below, next.Classes = control.BelowNone, next.Classes[:1]
+	_, err := c.core.Retune(next, func(int) bool { return false })
+	require.NoError(t, err)
+	c.step()
+	c.core.CallEnded(c.now, id, calls.Answered, []byte("reply"))
+	c.core.Finished(id, Passed, []byte("done"))
+	require.Equal(t, []string{"ask " + id + " call false", "supply " + id + " reply"}, c.does())
+	require.Equal(t, []Answer{{Status: Served, Result: []byte("done")}}, got.got)
+}
