Review case 2: an upgraded edge lets intakes run a second time at another server

Change: review/2 starts two log servers with an edge before them and upgrades the edge as the page for operators on call says; the slow store becomes case 3, as cases stand with the gravest first. Nothing outside review/ changes.

--- a/review/standin/lab/lab.go
+++ b/review/standin/lab/lab.go
@@ -16,6 +16,7 @@
 	"regexp"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -293,3 +294,25 @@
 	}
 	return fields
 }
+
+// Upgrade starts a new process of a log server beside the old one, waits until it takes clients, tells the old one to
+// stop and waits until that has ended, as the page for operators on call says.
+func (l *Lab) Upgrade(old *Process, name, admin string, environment ...string) (*Process, error) {
+	l.Note("operator: starts %s beside %s", name, old.Name)
+	fresh, err := l.Start(name, append(environment, "RELAY_ADMIN="+admin)...)
+	if err != nil {
+		return nil, err
+	}
+	if err := AwaitReady(admin, 6*time.Second); err != nil {
+		return nil, err
+	}
+	l.Note("operator: %s is ready, SIGTERM to %s", name, old.Name)
+	if err := old.Signal(syscall.SIGTERM); err != nil {
+		return nil, err
+	}
+	if !old.Ended(5 * time.Second) {
+		return nil, fmt.Errorf("%s has not ended", old.Name)
+	}
+	l.Note("operator: %s has ended", old.Name)
+	return fresh, nil
+}
--- a/review/standin/lab/pool.go
+++ b/review/standin/lab/pool.go
@@ -18,10 +18,11 @@
 	StartedAt       time.Time
 }
 
-// Pool is a worker pool: it starts each run at once and ends it with PASS after its work.
+// Pool is a worker pool: it starts each run at once and ends it after its work, with PASS or, if Fails says so, FAIL.
 type Pool struct {
 	Cores    int
 	Work     func(Run) time.Duration
+	Fails    func(Run) bool
 	Started  func(Run)
 	Finished func(Run, string)
 
@@ -134,6 +135,10 @@
 	p.runs[run.ID] = time.AfterFunc(p.Work(run), func() {
 		p.mu.Lock()
 		defer p.mu.Unlock()
+		if p.Fails != nil && p.Fails(run) {
+			p.finish(run, "FAIL", "")
+			return
+		}
 		p.finish(run, "PASS", "result of run "+run.ID+" for "+run.Body)
 	})
 }
--- a/review/standin/store-slow/main.go
+++ b/review/standin/store-slow/main.go
@@ -1,4 +1,4 @@
-// Command store-slow plays case 2: the store of record slows down fivefold for a while.
+// Command store-slow plays case 3: the store of record slows down fivefold for a while.
 package main
 
 import (
