--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -23,6 +23,9 @@
 		c.replay(req)
 		return
 	}
+	if req.entry != nil && c.keys.byKey[req.entry.key] != req.entry {
+		c.logf("dispatch: run started without an entry for its key: run=%s key=%q", req.RunID, req.entry.key.text)
+	}
 	req.state = stateRunning
 	if req.entry != nil && c.peer != nil && c.role == handoff.Owner {
 		// Sent before the run begins, so that the peer knows of the run even if this process crashes.
