Queue at most one attempt of a key, whichever attempt the host names as its original

Cause: control finds the key of a repeat by the ID of its original. The host learns only after a step which attempt holds the key, so that in one step it names the same original for all attempts. Once the second had replaced the queued first one, the original was unknown, and the third was queued beside the second as if it were another request, with a key of its own in control and the same key in the host. Rejecting or cancelling the third made the host drop the key of the second. The same happened when the original, or a repeat that was named, was cancelled or rejected in the step.

Change: until the end of the step, control remembers which attempt holds the key of each attempt that was replaced, has ended or waits for a result, and looks keys up through that. The contract of RequestArrived.Original says which attempts may be named. TestInvariants could not meet this: its host always named the previous attempt of the step, cancelled nothing in the step of its arrival, and did not check rejections after a run with the key.

--- a/control/controller.go
+++ b/control/controller.go
@@ -98,6 +98,7 @@
 // not decrease from one step to the next.
 func (c *Controller) Step(now time.Duration, events []Event) []Action {
 	c.actions = nil
+	c.keys.beginStep()
 	c.advance(now)
 	for _, event := range events {
 		c.handle(event)
--- a/control/events.go
+++ b/control/events.go
@@ -73,7 +73,9 @@
 	Rank       float64       // 0 to 1; callers compare it with the threshold of LoadSignalThreshold; not used here
 	Retry      bool          // a retry or a hedged request
 	Caller     uint32        // identifies the caller that sent the request
-	Original   RequestID     // the request with a retained key that this one repeats; 0 = none
+	// Original is the attempt that this one repeats: the one that RetainKey named last for their key, or any attempt
+	// with that key that arrived earlier in the same step, even if it has ended since; 0 = none.
+	Original RequestID
 }
 
 // RequestFinished reports the end of a Start or a ReplayResult. On OutcomeOK and OutcomeError the host has sent the
--- a/control/idempotency.go
+++ b/control/idempotency.go
@@ -18,11 +18,19 @@
 // retainedKeys tracks the idempotency keys that the host retains. Each key is stored under the ID of its original: the
 // request that RetainKey named. A repeat is a later attempt with the same key.
 type retainedKeys struct {
-	keys      map[RequestID]*retainedKey
+	keys map[RequestID]*retainedKey
+	// aliases maps the attempts whose key is now held by another attempt to that attempt. The host learns of it when it
+	// carries out the actions of the step, and names any of them as the original until then.
+	aliases   map[RequestID]RequestID
 	liveCount int // number of keys that had not expired at the last call of expire
 }
 
-func newRetainedKeys() *retainedKeys { return &retainedKeys{keys: map[RequestID]*retainedKey{}} }
+func newRetainedKeys() *retainedKeys {
+	return &retainedKeys{keys: map[RequestID]*retainedKey{}, aliases: map[RequestID]RequestID{}}
+}
+
+// beginStep drops the aliases of the previous step, as the host has carried out its actions.
+func (t *retainedKeys) beginStep() { clear(t.aliases) }
 
 // retain adds the key of a request.
 func (t *retainedKeys) retain(id RequestID, expiresAt time.Duration) {
@@ -90,23 +98,27 @@
 
 // replayOriginal answers a repeat with the result of its original and returns true. It returns false if the repeat must
 // be queued like any other request: the original has no retained key, or it is a keyed request that is still queued. A
-// queued original is rejected in favour of the repeat, whose caller waits longer.
+// queued original is rejected in favour of the repeat, whose caller waits longer. So at most one attempt of a keyed
+// request is queued.
 func (c *Controller) replayOriginal(req *request) bool {
-	id := req.Original
-	// The original may itself be a repeat. Its key is then stored under its own original.
-	original := c.requests.byID[id]
-	for c.keys.keys[id] == nil && original != nil && original.Original != 0 {
-		id = original.Original
-		original = c.requests.byID[id]
+	keyed := c.classes.of(req).Idempotency == IdempotentByKey
+	holder := c.keyHolder(req.Original)
+	key := c.keys.keys[holder]
+	original := c.requests.byID[holder]
+	replaced := keyed && key != nil && !key.started && original != nil
+	if replaced {
+		c.reject(original, true)
 	}
-	key := c.keys.keys[id]
-	if key == nil {
+	if key == nil || replaced {
+		if keyed {
+			c.keys.aliases[holder] = req.ID
+		}
 		return false
 	}
-	if !key.started && original != nil && c.classes.of(req).Idempotency == IdempotentByKey {
-		c.reject(original, true)
-		return false
+	if keyed {
+		c.keys.aliases[req.ID] = holder
 	}
+	req.Original = holder
 	if c.memoryUse() > 1 {
 		// A repeat that waits for the result needs memory. It fails and is not rejected, because a rejection would
 		// wrongly state that nothing ran.
@@ -117,3 +129,19 @@
 	c.emit(ReplayResult{ID: req.ID})
 	return true
 }
+
+// keyHolder returns the attempt that holds the key of an attempt, or was the last one to hold it. The attempt may be a
+// repeat that waits for the result, and it may have ended in this step.
+func (c *Controller) keyHolder(id RequestID) RequestID {
+	for {
+		if holder, moved := c.keys.aliases[id]; moved {
+			id = holder
+			continue
+		}
+		attempt := c.requests.byID[id]
+		if attempt == nil || attempt.state != stateReplaying {
+			return id
+		}
+		id = attempt.Original
+	}
+}
--- a/control/idempotency_test.go
+++ b/control/idempotency_test.go
@@ -91,3 +91,52 @@
 	require.Equal(t, 1, countActions[Reject](actions))
 	require.Equal(t, stateQueued, controller.requests.byID[3].state)
 }
+
+// Guards against a second run of a request whose attempts cross a stalled connection and are read in one step: the host
+// names an attempt as the original that has ended in the same step. At most one attempt may stay queued, and the others
+// end by then, whichever of them is named.
+func TestOneAttemptOfAKeyIsQueued(t *testing.T) {
+	attempt := func(id, original RequestID) Event {
+		return RequestArrived{ID: id, Class: 1, QueuedKB: 1, Original: original}
+	}
+	tests := []struct {
+		name   string
+		queued bool // attempt 2 was queued in the step before
+		events []Event
+	}{
+		{"first attempt named", false, []Event{attempt(2, 0), attempt(3, 2), attempt(4, 2)}},
+		{"previous attempt named", false, []Event{attempt(2, 0), attempt(3, 2), attempt(4, 3)}},
+		{"queued attempt named", true, []Event{attempt(3, 2), attempt(4, 2)}},
+		{"first attempt cancelled", false, []Event{attempt(2, 0), RequestCancelled{ID: 2}, attempt(3, 2), attempt(4, 2)}},
+		{"queued attempt cancelled", true, []Event{RequestCancelled{ID: 2}, attempt(3, 2), attempt(4, 2)}},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			controller := newTestController(t, nil)
+			controller.limiter.limit = 1
+			controller.Step(0, []Event{RequestArrived{ID: 1, Class: 1, QueuedKB: 1}})
+			if tc.queued {
+				stepAfter(controller, tickInterval, attempt(2, 0))
+			}
+			actions := stepAfter(controller, tickInterval, tc.events...)
+			require.Len(t, controller.requests.byID, 2, "attempts beside the running request")
+			require.Equal(t, stateQueued, controller.requests.byID[4].state)
+			require.Len(t, controller.keys.keys, 2, "retained keys")
+			require.NotContains(t, actions, Action(ReleaseKey{ID: 4}))
+		})
+	}
+}
+
+// Guards against a second run after a repeat that waited for the result is cancelled in the step in which it was read:
+// a later repeat that names it gets the result too.
+func TestRepeatOfCancelledRepeatGetsOriginalResult(t *testing.T) {
+	controller := newTestController(t, nil)
+	controller.Step(0, []Event{RequestArrived{ID: 1, Class: 1, QueuedKB: 1}})
+	actions := stepAfter(controller, tickInterval,
+		RequestArrived{ID: 2, Class: 1, QueuedKB: 1, Original: 1},
+		RequestCancelled{ID: 2},
+		RequestArrived{ID: 3, Class: 1, QueuedKB: 1, Original: 2},
+	)
+	require.Contains(t, actions, Action(ReplayResult{ID: 3}))
+	require.Zero(t, countActions[Start](actions))
+}
--- a/control/reference_test.go
+++ b/control/reference_test.go
@@ -46,6 +46,7 @@
 	phase          phase
 	answered       bool
 	started        bool
+	cancelled      bool // in the step in which it was read: answers to it are dropped
 	callMayHaveRun bool
 	callTimeout    time.Duration // clock time at which the host abandons the call
 }
@@ -75,8 +76,8 @@
 	drainRequestedAt time.Duration
 	stopAt           time.Duration
 
-	readThisStep   map[uint64]control.RequestID // keyed requests
-	callSeconds    []float64                    // call seconds in flight in each step, abandoned calls included
+	readThisStep   map[uint64][]control.RequestID // keyed requests, ended ones included
+	callSeconds    []float64                      // call seconds in flight in each step, abandoned calls included
 	abandonedUntil []time.Duration
 }
 
@@ -130,17 +131,30 @@
 	return req.event
 }
 
-// assignKey gives a keyed request a key of its class and names its original if it is a repeat.
+// assignKey gives a keyed request a key of its class. If it is a repeat, its original is the attempt that retains the
+// key or any attempt that was read earlier in this step: a host learns only after the step which of them retains the
+// key, and whether they have ended.
 func (h *referenceHost) assignKey(req *referenceRequest) {
 	req.event.SubjectKey += 100 * uint64(req.event.Class)
+	originals := slices.Clone(h.readThisStep[req.event.SubjectKey])
 	if key := h.key(req.event.SubjectKey); key.retained && req.arrivedAt < key.expiresAt {
-		req.event.Original = key.retainedBy
+		originals = append(originals, key.retainedBy)
 	}
-	// Of two attempts that are read in one step, the second is a repeat even though the key is not retained yet.
-	if id, ok := h.readThisStep[req.event.SubjectKey]; ok {
-		req.event.Original = id
+	if len(originals) > 0 {
+		req.event.Original = rapid.SampledFrom(originals).Draw(h.t, "original")
 	}
-	h.readThisStep[req.event.SubjectKey] = req.event.ID
+	h.readThisStep[req.event.SubjectKey] = append(h.readThisStep[req.event.SubjectKey], req.event.ID)
+}
+
+// drawCancellation cancels the request that was read last, in the same step, or returns nil.
+func (h *referenceHost) drawCancellation() control.Event {
+	if rapid.IntRange(0, 9).Draw(h.t, "caller cancels at once") > 0 {
+		return nil
+	}
+	id := h.lastID
+	req := h.requests[id]
+	req.phase, req.answered, req.cancelled = phaseEnded, true, true
+	return control.RequestCancelled{ID: id}
 }
 
 // drawEvent draws one event that is possible in the request's phase; nil if there is none.
@@ -212,9 +226,12 @@
 			}
 		}
 	}
-	h.readThisStep = map[uint64]control.RequestID{}
+	h.readThisStep = map[uint64][]control.RequestID{}
 	for range rapid.IntRange(0, 5).Draw(h.t, "arrivals") {
 		events = append(events, h.drawArrival())
+		if event := h.drawCancellation(); event != nil {
+			events = append(events, event)
+		}
 	}
 	if h.drainRequestedAt == 0 && rapid.IntRange(0, 99).Draw(h.t, "drain") == 0 {
 		h.drainRequestedAt, h.stopAt = h.now, h.now+4*time.Second
@@ -268,7 +285,7 @@
 		if key.retainedBy != action.ID || !key.retained || key.expiresAt < req.arrivedAt+class.RetentionWindow {
 			h.failf("start of keyed request %d without a key for its retention window", action.ID)
 		}
-		if key.started && req.arrivedAt < key.arrivedAt+class.RetentionWindow {
+		if h.hasRunWithin(key, req) {
 			h.failf("start of %d causes an effect a second time", action.ID)
 		}
 		key.started, key.arrivedAt = true, req.arrivedAt
@@ -276,16 +293,31 @@
 	req.phase, req.started = phaseRunning, true
 }
 
+// hasRunWithin reports whether a request was started with the key, in whose retention window req has arrived.
+func (h *referenceHost) hasRunWithin(key *referenceKey, req *referenceRequest) bool {
+	return key.started && req.arrivedAt < key.arrivedAt+h.class(req).RetentionWindow
+}
+
 func (h *referenceHost) reject(action control.Reject) {
 	req := h.request(action.ID)
+	if req.cancelled {
+		return
+	}
 	if req.answered || req.started || req.phase == phaseEnded || req.phase == phaseReplaying {
 		h.failf("rejection of %d while %s: answered %v, started %v", action.ID, req.phase, req.answered, req.started)
 	}
+	keyed := h.class(req).Idempotency == control.IdempotentByKey
+	if keyed && h.hasRunWithin(h.key(req.event.SubjectKey), req) {
+		h.failf("rejection of %d after a run with its key", action.ID)
+	}
 	req.phase, req.answered = phaseEnded, true
 }
 
 func (h *referenceHost) fail(action control.Fail) {
 	req := h.request(action.ID)
+	if req.cancelled {
+		return
+	}
 	if req.answered {
 		h.failf("second answer to %d", action.ID)
 	}
@@ -325,6 +357,9 @@
 
 func (h *referenceHost) replayResult(action control.ReplayResult) {
 	req := h.request(action.ID)
+	if req.cancelled {
+		return
+	}
 	if req.event.Original == 0 || req.phase != phaseQueued {
 		h.failf("replay by %d while %s", action.ID, req.phase)
 	}
