Keep the key of a queued request in the table when its run starts

Cause: the core promises that a key runs once whatever the decision module decides, but it trusted the module to release a key only when no attempt of it is queued. A run could start with an entry that the table no longer had, or beside another entry of the same key, and the next attempt ran again.

Change: before a run starts, its request gets the entry that the table has for its key, or puts its own one back. A key that the peer process may run is not claimed. The log line of the evidence now tells that this safeguard was needed.

Result: TestKeyReleasedWhileQueuedRunsOnce fails in both cases before the change and passes after it; the tests of dispatch and server pass.

--- a/internal/dispatch/guards_test.go
+++ b/internal/dispatch/guards_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -77,6 +78,35 @@
 	require.Equal(t, served, after.responses)
 }
 
+// Guards against a second run of a key that the decision module releases while an attempt of it is queued: whether or
+// not another attempt arrives before that one starts, later attempts get the result of the run.
+func TestKeyReleasedWhileQueuedRunsOnce(t *testing.T) {
+	for _, attemptBetween := range []bool{false, true} {
+		t.Run(fmt.Sprintf("attempt between %v", attemptBetween), func(t *testing.T) {
+			env := newScriptedHarness(t)
+			var queued control.RequestID
+			env.submit("a", "k", func(id control.RequestID) []control.Action {
+				queued = id
+				return []control.Action{control.RetainKey{ID: id, TTL: time.Minute}}
+			})
+			env.decide(control.ReleaseKey{ID: queued})
+			if attemptBetween {
+				env.submit("b", "k", func(id control.RequestID) []control.Action {
+					return []control.Action{control.RetainKey{ID: id, TTL: time.Minute}}
+				})
+			}
+			env.decide(control.Start{ID: queued})
+			require.Equal(t, []string{"a"}, env.started)
+			env.core.RunFinished("a", RunSucceeded, []byte("lot"))
+			later := env.submit("c", "k", func(id control.RequestID) []control.Action {
+				return []control.Action{control.Start{ID: id}}
+			})
+			require.Equal(t, []string{"a"}, env.started)
+			require.Equal(t, []Response{{Status: StatusSucceeded, Result: []byte("lot")}}, later.responses)
+		})
+	}
+}
+
 // A request gets one response, even if the decision module fails it twice and its run ends after that.
 func TestOneResponseWhateverModuleDecides(t *testing.T) {
 	env := newScriptedHarness(t)
--- a/internal/dispatch/keys.go
+++ b/internal/dispatch/keys.go
@@ -72,8 +72,12 @@
 	peerWaiting bool          // the peer process waits for the end of the run
 }
 
-// claim marks the key as run by req. It returns false if another attempt runs or has run.
+// claim marks the key as run by req. It returns false if another attempt runs or has run, or if the peer process may
+// run the key.
 func (e *keyEntry) claim(req *request) bool {
+	if e.peerState != handoff.Free {
+		return false
+	}
 	if e.run == runNone {
 		e.run = runActive
 	} else if e.ranBy != req.id {
@@ -213,6 +217,22 @@
 	t.byOriginal[req.id] = entry
 }
 
+// reattach gives a queued request the entry that the table has for its key, so that its run cannot start unknown to the
+// table. If there is none, it adds the request's own one again. It returns false if the request has that entry already,
+// which is always so unless the decision module has released the key or the retention window has ended.
+func (t *keyTable) reattach(req *request) bool {
+	known := t.byKey[req.entry.key]
+	if known == req.entry {
+		return false
+	}
+	if known == nil {
+		t.byKey[req.entry.key] = req.entry
+	} else {
+		req.entry = known
+	}
+	return true
+}
+
 // endRetention drops the entry of an original, as the decision module no longer retains its key. An entry with a run is
 // kept.
 func (t *keyTable) endRetention(original control.RequestID) {
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -18,13 +18,15 @@
 	if req == nil || req.state != stateQueued {
 		return
 	}
-	if req.entry != nil && !req.entry.claim(req) {
-		c.logf("dispatch: run withheld, another attempt has run the key: run=%s", req.RunID)
-		c.replay(req)
-		return
-	}
-	if req.entry != nil && c.keys.byKey[req.entry.key] != req.entry {
-		c.logf("dispatch: run started without an entry for its key: run=%s key=%q", req.RunID, req.entry.key.text)
+	if req.entry != nil {
+		if c.keys.reattach(req) {
+			c.logf("dispatch: key of a queued request was released: run=%s key=%q", req.RunID, req.entry.key.text)
+		}
+		if !req.entry.claim(req) {
+			c.logf("dispatch: run withheld, another attempt has run the key: run=%s", req.RunID)
+			c.replay(req)
+			return
+		}
 	}
 	req.state = stateRunning
 	if req.entry != nil && c.peer != nil && c.role == handoff.Owner {
