Claim a key from the other process of a hot restart once, until it answers

What callers would see: an intake that runs in both processes during a hot restart, or is rejected after it ran in the other one.

Cause: a process that waits for its peer's key claims it again when the peer releases the key, though its first claim, which the release crossed, is not answered yet. The owner grants both. If the process has given the key back between the grants, it takes the second one for the answer to a later claim, while the owner runs the key.

Change: a key remembers that a claim is pending, and is not claimed again until it is answered. An owner does not grant a key that it has granted already, as a peer of an older release may claim twice. The model could not meet this: in it no run turned out not to have been started and no waiting attempt ended; it has both now, and longer queues.

--- a/internal/decide/handoff/handoff.go
+++ b/internal/decide/handoff/handoff.go
@@ -137,6 +137,9 @@
 	State State
 	// PeerWaiting means that the peer has claimed a Local key and waits until its run ends or it is released.
 	PeerWaiting bool
+	// ClaimPending means that this process has claimed a Requested or Remote key and the owner has not answered yet. A
+	// key is not claimed again until then: a second grant would arrive after this process has released the key.
+	ClaimPending bool
 }
 
 // Step applies an event. waiting reports whether attempts of the key wait here. It returns the actions that the host
@@ -174,7 +177,7 @@
 	switch k.State {
 	case Free:
 		if role == Requester {
-			k.State = Requested
+			k.claim()
 			return []Action{Queue, Claim}
 		}
 		k.State = Local
@@ -187,9 +190,15 @@
 	return []Action{Admit}
 }
 
+// claim makes the key Requested.
+func (k *Key) claim() {
+	k.State, k.ClaimPending = Requested, true
+}
+
 // peerGranted is also expected in state Remote: the peer held the key when this process claimed it, and has released it
 // since. If no attempt waits any more, the key is released again.
 func (k *Key) peerGranted(waiting bool) []Action {
+	k.ClaimPending = false
 	if k.State != Requested && k.State != Remote {
 		return nil
 	}
@@ -208,6 +217,7 @@
 }
 
 func (k *Key) peerFinished() []Action {
+	k.ClaimPending = false
 	if k.State == Local || k.State == Done {
 		return nil
 	}
@@ -219,8 +229,12 @@
 	if k.State != Remote {
 		return nil
 	}
-	if waiting && role == Requester {
+	if k.ClaimPending {
 		k.State = Requested
+		return nil
+	}
+	if waiting && role == Requester {
+		k.claim()
 		return []Action{Claim}
 	}
 	return k.admitWaiting(waiting)
@@ -236,6 +250,8 @@
 		return []Action{NotifyStarted}
 	case Done, Indeterminate:
 		return []Action{NotifyFinished}
+	case Remote: // Granted already: a peer of an older release may claim a key twice.
+		return nil
 	default:
 		k.State = Remote
 		return []Action{Grant}
@@ -257,6 +273,7 @@
 }
 
 func (k *Key) ownershipTaken(waiting bool) []Action {
+	k.ClaimPending = false
 	if k.State != Requested {
 		return nil
 	}
@@ -271,7 +288,7 @@
 }
 
 func (k *Key) peerLost(waiting bool) []Action {
-	k.PeerWaiting = false
+	k.PeerWaiting, k.ClaimPending = false, false
 	switch k.State {
 	case Remote:
 		k.State = Indeterminate
--- a/internal/decide/handoff/handoff_test.go
+++ b/internal/decide/handoff/handoff_test.go
@@ -8,16 +8,16 @@
 )
 
 // The model consists of one key in two processes, the old one and its successor, which exchange messages in order. At
-// any time, a process may read an attempt, run or release a key that it holds, or finish its run, and the old process
-// may pass the ownership once. At most one process crashes, at any time. Its peer still receives the messages that it
+// any time, a process may read an attempt, abandon the waiting ones, run or release a key that it holds, finish its run,
+// or learn that its run was not started, and the old process may pass the ownership once. At most one process crashes, at any time. Its peer still receives the messages that it
 // has sent, and then the loss of the connection.
 
 const (
 	oldProcess  = 0
 	newProcess  = 1
 	maxAttempts = 4 // read by each process
-	maxQueued   = 10
-	maxRuns     = 2 // higher counts are equivalent
+	maxQueued   = 20
+	maxRuns     = 2 // higher counts are equivalent, as two are forbidden
 )
 
 type message uint8
@@ -127,7 +127,15 @@
 		add("runs", func(next *model) { next.run(at) })
 		add("releases", func(next *model) { next.step(at, LocalReleased) })
 	}
+	if here.waiting {
+		add("abandons the waiting attempts", func(next *model) { next.processes[at].waiting = false })
+	}
 	if here.running {
+		add("learns that its run was not started", func(next *model) {
+			next.processes[at].running = false
+			next.runs--
+			next.step(at, LocalReleased)
+		})
 		add("ends its run", func(next *model) {
 			next.processes[at].running = false
 			next.step(at, LocalFinished)
@@ -259,9 +267,9 @@
 	cases := 0
 	for state := range stateCount {
 		for event := range eventCount {
-			for i := range 12 {
-				key := Key{State: state, PeerWaiting: i&1 != 0}
-				for _, action := range key.Step(Role(i>>1%3), event, i >= 6) {
+			for i := range 24 {
+				key := Key{State: state, PeerWaiting: i&1 != 0, ClaimPending: i >= 12}
+				for _, action := range key.Step(Role(i>>1%3), event, i%12 >= 6) {
 					require.LessOrEqual(t, action, NotifyReleased)
 				}
 				require.Less(t, key.State, stateCount)
--- a/internal/dispatch/harness_test.go
+++ b/internal/dispatch/harness_test.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -12,12 +11,13 @@
 
 // harness is a core with a fake backend and a fake execution store.
 type harness struct {
-	t        *testing.T
+	t        testingT
 	core     *Core
 	now      microtime.Time
 	attempts int
 
 	started []string
+	onStart func(runID string) // called at each start; may be nil
 
 	lookupEnabled   bool // Lookup returns true, as if it asked other servers
 	lookupDone      []func(LeaseResult)
@@ -31,7 +31,13 @@
 	failedKeys      []string
 }
 
-func (h *harness) Start(run Run)  { h.started = append(h.started, run.ID) }
+func (h *harness) Start(run Run) {
+	h.started = append(h.started, run.ID)
+	if h.onStart != nil {
+		h.onStart(run.ID)
+	}
+}
+
 func (h *harness) Cancel(string)  {}
 func (h *harness) RequestGauges() {}
 
@@ -67,7 +73,14 @@
 	h.recordDone = append(h.recordDone, done)
 }
 
-func newHarness(t *testing.T) *harness {
+// testingT is the part of testing.T and rapid.T that a harness uses.
+type testingT interface {
+	require.TestingT
+	Helper()
+	Logf(format string, args ...any)
+}
+
+func newHarness(t testingT) *harness {
 	h := &harness{t: t, now: 100 * microtime.Second}
 	settings := control.Settings{Cores: 2, MaxRetryAfter: time.Second, Classes: []control.Class{
 		{Name: "view", LatencyObjective: time.Second, Deadline: 4 * time.Second, Weight: 1},
--- a/internal/dispatch/keys.go
+++ b/internal/dispatch/keys.go
@@ -70,6 +70,8 @@
 
 	peerState   handoff.State // Requested, Remote or Indeterminate if the peer process may run the key; else Free
 	peerWaiting bool          // the peer process waits for the end of the run
+	// claimPending means that this process has claimed the key from the peer process, which has not answered yet.
+	claimPending bool
 }
 
 // claim marks the key as run by req. It returns false if another attempt runs or has run, or if the peer process may
--- a/internal/dispatch/peer.go
+++ b/internal/dispatch/peer.go
@@ -31,7 +31,7 @@
 	case e == nil:
 		return handoff.Key{State: handoff.Free}
 	case e.peerState != handoff.Free:
-		return handoff.Key{State: e.peerState, PeerWaiting: e.peerWaiting}
+		return handoff.Key{State: e.peerState, PeerWaiting: e.peerWaiting, ClaimPending: e.claimPending}
 	case e.run == runFinished:
 		return handoff.Key{State: handoff.Done, PeerWaiting: e.peerWaiting}
 	}
@@ -54,6 +54,7 @@
 	if entry == nil {
 		entry = c.addExternal(req.keyedRequest(), key.State)
 	}
+	entry.claimPending = key.ClaimPending
 	req.entry = entry
 	for _, action := range actions {
 		switch action {
@@ -104,6 +105,7 @@
 	}
 	if entry != nil {
 		entry.peerWaiting = key.PeerWaiting
+		entry.claimPending = key.ClaimPending
 	}
 	for _, action := range actions {
 		c.resumeParked(action, entry, waiting)
--- a/internal/dispatch/peer_test.go
+++ b/internal/dispatch/peer_test.go
@@ -43,7 +43,7 @@
 	p.send(func() { p.to.core.PeerReleased(request) })
 }
 
-func newHandoffHarness(t *testing.T) *handoffHarness {
+func newHandoffHarness(t testingT) *handoffHarness {
 	h := &handoffHarness{old: newHarness(t), successor: newHarness(t)}
 	h.old.core.Start(h.old.now, 0, false)
 	h.successor.core.Start(h.successor.now, 0, false)
