--- a/internal/testbed/fakes/caller.go
+++ b/internal/testbed/fakes/caller.go
@@ -43,6 +43,8 @@
 	cancelLateUntil  microtime.Time
 	notReadingUntil  microtime.Time
 	retryAtOnceUntil microtime.Time
+	overlapInterval  microtime.Time // how long it waits for an answer before it sends another attempt
+	overlapUntil     microtime.Time
 }
 
 // CallerConfig are the parameters of a caller.
@@ -119,6 +121,13 @@
 // RetryAtOnce makes the caller retry without a pause after a rejection, until a time.
 func (c *Caller) RetryAtOnce(until microtime.Time) { c.faults.retryAtOnceUntil = until }
 
+// OverlapAttempts makes the caller send another attempt of a keyed job to the same server after each interval without an
+// answer, until a time. It does not cancel the attempts before.
+func (c *Caller) OverlapAttempts(interval, until microtime.Time) {
+	c.faults.overlapInterval = interval
+	c.faults.overlapUntil = until
+}
+
 // StopReading pauses reading on all connections of the caller until a time.
 func (c *Caller) StopReading(until microtime.Time) {
 	c.faults.notReadingUntil = max(c.faults.notReadingUntil, until)
--- a/internal/testbed/fakes/caller_conn.go
+++ b/internal/testbed/fakes/caller_conn.go
@@ -193,6 +193,21 @@
 		c.writeThrift(started)
 	}
 	started.timer = env.Clock.In(caller.timeout(sent), func() { c.cancel(started) })
+	if caller.faults.overlapUntil > env.Clock.Now() && caller.hasKey(sent) {
+		c.scheduleOverlap(started)
+	}
+}
+
+// scheduleOverlap sends another attempt of a job after the overlap interval if the given one is still unanswered.
+func (c *callerConn) scheduleOverlap(unanswered *attempt) {
+	caller := c.caller
+	caller.env.Clock.In(caller.faults.overlapInterval, func() {
+		if c.ended || !slices.Contains(c.open, unanswered) {
+			return
+		}
+		unanswered.job.stickyServer = c.server
+		caller.dispatch(unanswered.job)
+	})
 }
 
 // timeout returns how long the caller waits for an answer: until shortly after the deadline, or a shorter time during a
--- a/internal/testbed/fakes/caller_jobs.go
+++ b/internal/testbed/fakes/caller_jobs.go
@@ -38,6 +38,7 @@
 	sizeHint       float64 // the size according to the caller
 	startedAt      microtime.Time
 	attempts       int
+	served         bool   // a result was received; answers to other attempts are ignored
 	stickyServer   string // server that may have run the job and gets all retries
 	avoidServer    string // server at which the last attempt was rejected or failed
 }
@@ -141,8 +142,12 @@
 }
 
 // dispatch sends a job to the server that may already have run it, or else to one of the endpoint list. The job is
-// dropped if no server allows it, if it is too old or was sent too often, or if all connections are full.
+// dropped if it was served, if no server allows it, if it is too old or was sent too often, or if all connections are
+// full.
 func (c *Caller) dispatch(sent *job) {
+	if sent.served {
+		return
+	}
 	server := sent.stickyServer
 	if server == "" {
 		if len(c.endpoints) == 0 {
@@ -193,6 +198,10 @@
 
 // attemptServed counts a job whose result was received.
 func (c *Caller) attemptServed(sent *job) {
+	if sent.served {
+		return
+	}
+	sent.served = true
 	now := c.env.Clock.Now()
 	class := c.classOf(sent)
 	c.env.Served[class.Name]++
--- a/internal/testbed/faults/draw.go
+++ b/internal/testbed/faults/draw.go
@@ -134,6 +134,7 @@
 	VaultBreakReply:         probability,
 	VaultStrayReply:         probability,
 	ImpatientCaller:         uniform(1, 2500),
+	OverlappingAttempts:     uniform(10, 500),
 	ConnectionLimit:         uniform(0, 8),
 	UnidentifiedConnections: uniform(1, 60),
 	StoreSlow:               uniform(1, 3000),
--- a/internal/testbed/faults/faults_test.go
+++ b/internal/testbed/faults/faults_test.go
@@ -33,7 +33,7 @@
 func TestEveryKindOfFaultRoundTrips(t *testing.T) {
 	script := Script{Servers: 2, Proxies: 2, WebFrontends: 1, Store: true, Vault: true, Length: 10 * microtime.Second}
 	rng := rand.New(rand.NewPCG(1, 2))
-	require.Len(t, Kinds(), 37)
+	require.Len(t, Kinds(), 38)
 	for _, kind := range Kinds() {
 		for range 20 {
 			fault := script.RandomFaultOf(rng, kind)
@@ -103,7 +103,7 @@
 // their runs would become invalid.
 func TestDrawWithoutVaultIsUnchanged(t *testing.T) {
 	sum := xxhash.New()
-	for _, profile := range Profiles() {
+	for _, profile := range []string{"calm", "dawn", "noon", "release", "worst"} { // those of that time
 		for seed := range uint64(50) {
 			s, err := Setup{Servers: 3, Proxies: 4, Edges: int(seed % 3), Length: 12 * microtime.Second}.Draw(seed, profile)
 			require.NoError(t, err)
--- a/internal/testbed/faults/kind.go
+++ b/internal/testbed/faults/kind.go
@@ -55,6 +55,9 @@
 	CallerStopsReading Kind = "deaf"
 	// ImmediateRetry makes the proxy retry rejected requests without a delay.
 	ImmediateRetry Kind = "insist"
+	// OverlappingAttempts makes the proxy send another attempt of a keyed request every Amount milliseconds while the
+	// previous one has no answer. It does not cancel that one.
+	OverlappingAttempts Kind = "overlap"
 	// ConnectionLimit limits the open connections of the server's machine to Amount.
 	ConnectionLimit Kind = "table"
 	// UnidentifiedConnections opens Amount connections to the server that send nothing, or an incomplete message.
@@ -140,6 +143,7 @@
 	LateCancel:              {node: "p", length: true},
 	CallerStopsReading:      {node: "p", length: true},
 	ImmediateRetry:          {node: "p", length: true},
+	OverlappingAttempts:     {node: "p", length: true, lo: 1, hi: 10_000},
 	ConnectionLimit:         {node: "s", length: true, hi: 10_000},
 	UnidentifiedConnections: {node: "s", lo: 1, hi: 5000},
 	DuplicateNotices:        {node: "w", length: true},
--- a/internal/testbed/faults/profiles.go
+++ b/internal/testbed/faults/profiles.go
@@ -101,6 +101,28 @@
 			VaultSilent:     1,
 		},
 	},
+	// Attempts of one request cross delayed paths and reach a busy server together.
+	"retries": {
+		interval: 1,
+		load:     1.3,
+		weights: map[Kind]int{
+			OverlappingAttempts: 12,
+			StallPath:           5,
+			Pause:               8,
+			ImpatientCaller:     2,
+			SlowPool:            3,
+			CostlyClass:         2,
+			TrafficSurge:        2,
+			AddLatency:          1,
+			CutConnection:       1,
+			Terminate:           1,
+			ReloadConfig:        1,
+		},
+		vaultWeights: map[Kind]int{
+			VaultSlow:   2,
+			VaultSilent: 1,
+		},
+	},
 	"worst": {
 		interval: 3,
 		load:     1,
--- a/internal/testbed/sim/figures_test.go
+++ b/internal/testbed/sim/figures_test.go
@@ -25,6 +25,7 @@
 		script, err := setup.Draw(rapid.Uint64().Draw(t, "seed"), profile)
 		require.NoError(t, err)
 		compareCounters := func(sim *simulation) {
+			awaitPausedServers(sim)
 			for _, server := range sim.servers {
 				if !server.host.Ended && !server.draining {
 					answers += requireCountersMatch(t, sim, server)
@@ -41,6 +42,15 @@
 	t.Logf("%d servers, %d answers", checked, answers)
 }
 
+// awaitPausedServers continues a run until the servers that are still paused have resumed and answered their requests.
+func awaitPausedServers(sim *simulation) {
+	for _, server := range sim.servers {
+		if resumesAt := server.host.PausedUntil(); resumesAt > sim.clock.Now() {
+			sim.stepUntil(resumesAt + settlingTime)
+		}
+	}
+}
+
 // requireCountersMatch requires that a server's counters match what was observed of it, and returns the number of
 // answers.
 func requireCountersMatch(t *rapid.T, sim *simulation, server *instance) (answers int) {
--- a/internal/testbed/sim/injection_caller.go
+++ b/internal/testbed/sim/injection_caller.go
@@ -19,4 +19,8 @@
 
 func (s *simulation) retryAtOnce(f injection) { f.caller.RetryAtOnce(f.until) }
 
+func (s *simulation) overlapAttempts(f injection) {
+	f.caller.OverlapAttempts(f.milliseconds(), f.until)
+}
+
 func (s *simulation) stopRegistry(f injection) { s.environment.Registry.SetDown(f.until) }
