--- a/internal/testbed/processtest/conn.go
+++ b/internal/testbed/processtest/conn.go
@@ -118,8 +118,21 @@
 
 // PendingRequest is a request that was sent and whose reply can be awaited.
 type PendingRequest struct {
-	ID    string
-	reply chan thrift.Reply
+	ID       string
+	reply    chan thrift.Reply
+	conn     *Conn
+	sequence int32
+}
+
+// Cancel tells the server that nobody awaits the reply any more. Await must not be called afterwards.
+func (p PendingRequest) Cancel() {
+	p.conn.mu.Lock()
+	defer p.conn.mu.Unlock()
+	if p.conn.pending[p.sequence] == nil {
+		return
+	}
+	delete(p.conn.pending, p.sequence)
+	sendTo(p.conn.conn, thrift.AppendGiveUp(nil, p.sequence))
 }
 
 // Await waits for the reply.
@@ -137,21 +150,36 @@
 
 // Send sends a request.
 func (c *Conn) Send(request Request) (PendingRequest, error) {
-	id := nextRequestID()
-	fields := request.fields(id)
+	sent, err := c.SendTogether(request)
+	if err != nil {
+		return PendingRequest{}, err
+	}
+	return sent[0], nil
+}
+
+// SendTogether sends requests in one write, so that the server reads them in one turn of its event loop.
+func (c *Conn) SendTogether(requests ...Request) ([]PendingRequest, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.ended {
-		return PendingRequest{}, ErrConnectionEnded
+		return nil, ErrConnectionEnded
 	}
-	c.sequence++
-	reply := make(chan thrift.Reply, 1)
-	c.pending[c.sequence] = reply
-	if _, err := c.conn.Write(thrift.AppendCall(nil, c.sequence, fields, []byte(request.Body))); err != nil {
-		delete(c.pending, c.sequence)
-		return PendingRequest{}, ErrConnectionEnded
+	var frames []byte
+	sent := make([]PendingRequest, 0, len(requests))
+	for _, request := range requests {
+		c.sequence++
+		pending := PendingRequest{ID: nextRequestID(), reply: make(chan thrift.Reply, 1), conn: c, sequence: c.sequence}
+		c.pending[pending.sequence] = pending.reply
+		frames = thrift.AppendCall(frames, pending.sequence, request.fields(pending.ID), []byte(request.Body))
+		sent = append(sent, pending)
+	}
+	if _, err := c.conn.Write(frames); err != nil {
+		for _, pending := range sent {
+			delete(c.pending, pending.sequence)
+		}
+		return nil, ErrConnectionEnded
 	}
-	return PendingRequest{ID: id, reply: reply}, nil
+	return sent, nil
 }
 
 // CheckHealth sends a health check on a new connection, and reports whether the server is healthy.
--- a/internal/testbed/processtest/play.go
+++ b/internal/testbed/processtest/play.go
@@ -10,6 +10,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"pewterline/internal/testbed/faults"
 )
@@ -18,6 +19,9 @@
 const (
 	playStopMS   = 3200
 	playMemoryMB = 64
+	// playRunSlots and playRunTime make requests wait for each other at a worker pool.
+	playRunSlots = 1
+	playRunTime  = 5 * time.Millisecond
 )
 
 // serverPlay is a play of one server, whose processes are upgraded and killed under load.
@@ -180,6 +184,7 @@
 		}
 		return nil, err
 	}
+	process.Pool.SetRunDuration(playRunSlots, playRunTime)
 	p.mu.Lock()
 	p.processes = append(p.processes, process)
 	p.relays[process] = relay
