--- a/internal/decide/handoff/handoff_test.go
+++ b/internal/decide/handoff/handoff_test.go
@@ -8,9 +8,9 @@
 )
 
 // The model consists of one key in two processes, the old one and its successor, which exchange messages in order. At
-// any time, a process may read an attempt, abandon the waiting ones, run or release a key that it holds, finish its run,
-// or learn that its run was not started, and the old process may pass the ownership once. At most one process crashes, at any time. Its peer still receives the messages that it
-// has sent, and then the loss of the connection.
+// any time, a process may read an attempt, abandon the waiting ones, run or release a key that it holds, finish its
+// run, or learn that its run was not started, and the old process may pass the ownership once. At most one process
+// crashes, at any time. Its peer still receives the messages that it has sent, and then the loss of the connection.
 
 const (
 	oldProcess  = 0
--- a/internal/testbed/fakes/caller.go
+++ b/internal/testbed/fakes/caller.go
@@ -121,8 +121,8 @@
 // RetryAtOnce makes the caller retry without a pause after a rejection, until a time.
 func (c *Caller) RetryAtOnce(until microtime.Time) { c.faults.retryAtOnceUntil = until }
 
-// OverlapAttempts makes the caller send another attempt of a keyed job to the same server after each interval without an
-// answer, until a time. It does not cancel the attempts before.
+// OverlapAttempts makes the caller send another attempt of a keyed job to the same server after each interval without
+// an answer, until a time. It does not cancel the attempts before.
 func (c *Caller) OverlapAttempts(interval, until microtime.Time) {
 	c.faults.overlapInterval = interval
 	c.faults.overlapUntil = until
