Queue the cancellation of an intent before the next attempt is started

What callers would see: with a store of record, an intake that was killed with its process could run again after the restart.

Cause: when an intent cannot be recorded, the store first told the core, which starts a waiting attempt at once and so queues its intent, and queued the cancellation of the first intent after that. Both are one row: the database says that the running request never ran.

Change: the writes of a state change are queued before the core is notified.

Result: TestWaitingAttemptRunsAfterRefusedIntent fails before the change (the intent is written before the cancellation) and passes after it; the tests of server pass.

--- a/internal/server/database_store.go
+++ b/internal/server/database_store.go
@@ -134,8 +134,10 @@
 	err       error // the result of the last write
 }
 
-// step applies an event and performs the actions that it returns.
+// step applies an event and performs the actions that it returns. The caller is notified last: it may start another
+// attempt at once, whose writes must follow those of this event.
 func (c *lifecycleChange) step(event execution.Event) {
+	var notices []execution.Action
 	for _, action := range c.lifecycle.Step(event) {
 		switch action {
 		case execution.ActionAcquireLease:
@@ -153,7 +155,7 @@
 			c.write(c.record.Cancelled(), execution.EventVacant)
 		case execution.ActionRetryLater: // the client's next attempt retries
 		default:
-			c.notify(action, c.err)
+			notices = append(notices, action)
 		}
 	}
 	c.removeIfEnded()
@@ -161,6 +163,9 @@
 		c.store.server.logf("server: the intent of a request that did not run stays on record: key=%q error=%v",
 			c.key.idempotencyKey, c.err)
 	}
+	for _, action := range notices {
+		c.notify(action, c.err)
+	}
 }
 
 // removeIfEnded removes the lifecycle once it has ended; the core keeps the result.
