Apply only the result of the last write of an execution to its state

Cause: a retry may write its intent before the cancellation of the earlier intent has ended. The failure of the cancellation was taken for that of the new intent; when that was recorded, nobody awaited it, so that the run neither started nor ended. control counted it as running and reported the machine as hung.

Change: an execution numbers its writes and takes the result of the last one only.

--- a/internal/server/database_store.go
+++ b/internal/server/database_store.go
@@ -46,7 +46,7 @@
 			s.core.Restore(request)
 		}
 	}
-	s.core.UseExecutionStore(&databaseStore{server: s, records: records, inProgress: map[recordKey]*execution.Lifecycle{}})
+	s.core.UseExecutionStore(&databaseStore{server: s, records: records, inProgress: map[recordKey]*databaseExecution{}})
 	s.logf("server: executions restored: restored=%d indeterminate=%d", len(restored), indeterminate)
 	return nil
 }
@@ -59,11 +59,19 @@
 
 // databaseStore implements dispatch.ExecutionStore with a database that only this server uses. Writes run on goroutines
 // of the database, and their results return to the loop through EventLoop.Execute. The core keeps the results of
-// executions; databaseStore keeps only the lifecycles in progress.
+// executions; databaseStore keeps only the executions in progress.
 type databaseStore struct {
 	server     *Server
 	records    RecordStore
-	inProgress map[recordKey]*execution.Lifecycle
+	inProgress map[recordKey]*databaseExecution
+}
+
+// databaseExecution is an execution in progress.
+type databaseExecution struct {
+	execution.Lifecycle
+	// lastWrite numbers the writes. The lifecycle awaits the result of the last one only: an attempt may arrive, and
+	// write its intent, before the cancellation of an earlier intent has ended.
+	lastWrite int
 }
 
 // Lookup implements dispatch.ExecutionStore. No other server writes to this database, and its records were loaded at
@@ -115,30 +123,30 @@
 ) {
 	record := d.record(request)
 	key := recordKey{tenant: record.Tenant, idempotencyKey: record.IdempotencyKey}
-	lifecycle := d.inProgress[key]
-	if lifecycle == nil {
-		lifecycle = &execution.Lifecycle{}
-		d.inProgress[key] = lifecycle
+	current := d.inProgress[key]
+	if current == nil {
+		current = &databaseExecution{}
+		d.inProgress[key] = current
 	}
-	change := &lifecycleChange{store: d, key: key, record: record, lifecycle: lifecycle, notify: notify}
+	change := &executionChange{store: d, key: key, record: record, execution: current, notify: notify}
 	change.step(event)
 }
 
-// lifecycleChange applies one event to an execution and performs the resulting database writes.
-type lifecycleChange struct {
+// executionChange applies one event to an execution and performs the resulting database writes.
+type executionChange struct {
 	store     *databaseStore
 	key       recordKey
 	record    store.Record
-	lifecycle *execution.Lifecycle
+	execution *databaseExecution
 	notify    func(execution.Action, error)
 	err       error // the result of the last write
 }
 
 // step applies an event and performs the actions that it returns. The caller is notified last: it may start another
 // attempt at once, whose writes must follow those of this event.
-func (c *lifecycleChange) step(event execution.Event) {
+func (c *executionChange) step(event execution.Event) {
 	var notices []execution.Action
-	for _, action := range c.lifecycle.Step(event) {
+	for _, action := range c.execution.Step(event) {
 		switch action {
 		case execution.ActionAcquireLease:
 			intent := c.record
@@ -159,7 +167,7 @@
 		}
 	}
 	c.removeIfEnded()
-	if event == execution.EventUnavailable && c.lifecycle.State == execution.StateIdle {
+	if event == execution.EventUnavailable && c.execution.State == execution.StateIdle {
 		c.store.server.logf("server: the intent of a request that did not run stays on record: key=%q error=%v",
 			c.key.idempotencyKey, c.err)
 	}
@@ -168,19 +176,25 @@
 	}
 }
 
-// removeIfEnded removes the lifecycle once it has ended; the core keeps the result.
-func (c *lifecycleChange) removeIfEnded() {
-	ended := c.lifecycle.State == execution.StateIdle || c.lifecycle.State == execution.StateRecorded
-	if ended && c.store.inProgress[c.key] == c.lifecycle {
+// removeIfEnded removes the execution once it has ended; the core keeps the result.
+func (c *executionChange) removeIfEnded() {
+	ended := c.execution.State == execution.StateIdle || c.execution.State == execution.StateRecorded
+	if ended && c.store.inProgress[c.key] == c.execution {
 		delete(c.store.inProgress, c.key)
 	}
 }
 
-// write writes a record. Once the record is durable, it applies durableEvent on the loop.
-func (c *lifecycleChange) write(record store.Record, durableEvent execution.Event) {
+// write writes a record. Once the record is durable, it applies durableEvent on the loop, unless another write of the
+// execution has been queued since.
+func (c *executionChange) write(record store.Record, durableEvent execution.Event) {
+	c.execution.lastWrite++
+	number := c.execution.lastWrite
 	c.store.records.Record(record, func(err error) {
 		// Execute fails only after the loop has ended, when no request is left to answer.
 		_ = c.store.server.loop.Execute(func() {
+			if number != c.execution.lastWrite {
+				return
+			}
 			c.err = err
 			if err != nil {
 				c.step(execution.EventUnavailable)
--- a/internal/testbed/fakes/store.go
+++ b/internal/testbed/fakes/store.go
@@ -39,6 +39,9 @@
 // the store's answer is lost.
 func (s *Store) Fail(until microtime.Time) { s.failUntil = until }
 
+// IdleAt returns when the last queued write completes.
+func (s *Store) IdleAt() microtime.Time { return s.idleAt }
+
 // Load implements server.Records: it returns the records since a time by the caller's clock, sorted by that clock. An
 // intent is left out once its result is recorded.
 func (s *Store) Load(sinceMilli int64) ([]store.Record, error) {
--- a/internal/testbed/faults/profiles.go
+++ b/internal/testbed/faults/profiles.go
@@ -107,6 +107,9 @@
 		load:     1.3,
 		weights: map[Kind]int{
 			OverlappingAttempts: 12,
+			ImmediateRetry:      3,
+			StoreSlow:           6,
+			StoreFail:           6,
 			StallPath:           5,
 			Pause:               8,
 			ImpatientCaller:     2,
