Propose the release of a lease before the next attempt requests one

What callers would see: with replication, when a lease cannot be granted in time and another attempt of the key waits, that one is rejected at its deadline too, although the group can be reached again.

Cause: Replica.step reported the rejection before it proposed the release. The core requests the lease for the waiting attempt within the report, and the release then took the place of that proposal.

Change: reports come after the proposals of an event.

Result: TestNextAttemptKeepsItsLease fails before the change (rejected twice) and passes after it; the tests of replication pass.

--- a/internal/replication/lease.go
+++ b/internal/replication/lease.go
@@ -96,15 +96,22 @@
 	}
 	actions := request.lifecycle.Step(event)
 	r.requests.update(request)
+	// The caller is told last: it may request the lease for another attempt at once, which must follow the proposals of
+	// this event.
+	var reports []execution.Action
 	for _, action := range actions {
-		r.perform(request, action, previous, value)
+		if !r.perform(request, action) {
+			reports = append(reports, action)
+		}
+	}
+	for _, action := range reports {
+		r.countSuccess(action, previous)
+		r.report(request, action, value)
 	}
 }
 
-// perform performs an action. previous is the state of the request before the event that caused the action.
-func (r *Replica) perform(
-	request *keyedRequest, action execution.Action, previous execution.State, value consensus.Value,
-) {
+// perform performs an action. It returns false if the action is a report to the caller.
+func (r *Replica) perform(request *keyedRequest, action execution.Action) bool {
 	change := consensus.Change{AttemptedAt: request.attempt.ArrivedAtMilli, Retention: request.attempt.RetentionMilli}
 	switch action {
 	case execution.ActionAcquireLease:
@@ -128,9 +135,9 @@
 	case execution.ActionRetryLater:
 		request.scheduleRetry(r.loop.Now())
 	default:
-		r.countSuccess(action, previous)
-		r.report(request, action, value)
+		return false
 	}
+	return true
 }
 
 // countSuccess counts granted leases and results. report counts the other outcomes.
--- a/internal/replication/replica_test.go
+++ b/internal/replication/replica_test.go
@@ -80,6 +80,23 @@
 	require.Equal(t, 1, group.servers[2].replica.Counters().OutcomesUnknown)
 }
 
+// Guards against an attempt whose lease is released before it is granted, so that it is rejected in vain: the caller of
+// a rejected attempt requests the lease for the next one before the rejection returns.
+func TestNextAttemptKeepsItsLease(t *testing.T) {
+	group := newBootstrappedCluster(t, 1, 2, 3)
+	server := group.servers[1]
+	server.partitioned = true
+	var got []execution.Action
+	server.replica.AcquireLease(server.attempt(testKey), func(rejected Outcome) {
+		got = append(got, rejected.Action)
+		server.partitioned = false
+		server.replica.AcquireLease(server.attempt(testKey), func(next Outcome) { got = append(got, next.Action) })
+	})
+	group.runUntil(func() bool { return len(got) == 2 })
+	require.Equal(t, []execution.Action{execution.ActionReject, execution.ActionStart}, got)
+	require.Equal(t, execution.ActionReportIndeterminate, group.servers[2].acquire(testKey).Action)
+}
+
 // A released lease can be granted to another server.
 func TestReleasedLeaseIsGrantedAgain(t *testing.T) {
 	group := newBootstrappedCluster(t, 1, 2, 3)
