Answer an attempt that is read late with the result of the run in whose window it arrived

What callers would see: an intake runs a second time within its window, or a try is rejected after it ran, where a try from just before the end of the window is read after one from just after it. The review suspected it from the code; not seen with the whole program.

Cause: the key table dropped the run whose window had ended for the latest attempt, so that the older one was taken for a repeat of the newer one, took its place in the queue, and ran.

Change: the replaced entry is kept for the grace of expired entries, and attempts from within its window get its result.

Result: TestLateReadAttemptGetsEarlierResult fails before the change and passes after it; the tests of dispatch and server, and the tables and digests of the simulation, pass.

--- a/internal/dispatch/execution_test.go
+++ b/internal/dispatch/execution_test.go
@@ -125,6 +125,28 @@
 	require.Len(t, env.started, 1, "not run after the retention window")
 }
 
+// Guards against a second run, and against a rejection, of an attempt that arrived just before the end of the retention
+// window of a run, but is read after an attempt that arrived later and runs anew. It gets the result of the first run.
+func TestLateReadAttemptGetsEarlierResult(t *testing.T) {
+	env := newHarness(t)
+	_, first := env.submitKeyed("k")
+	env.core.RunFinished(first, RunSucceeded, []byte("lot"))
+	env.endTurn()
+	windowEnd := env.now + 13*microtime.Second
+	env.now = windowEnd + microtime.Second
+	env.submitKeyed("k")
+	require.Len(t, env.started, 2)
+
+	late := &recordingResponder{}
+	_, err := env.core.Submit(env.now, Request{
+		RunID: "late", Class: 1, IdempotencyKey: "k", ArrivedAt: windowEnd - 1, QueuedKB: 1, Responder: late,
+	})
+	require.NoError(t, err)
+	env.endTurn()
+	require.Equal(t, []Response{{Status: StatusSucceeded, Result: []byte("lot")}}, late.responses)
+	require.Len(t, env.started, 2)
+}
+
 // Guards against a second run of a request that ran at another server: a repeat here gets the result or fails as
 // indeterminate, and is not run. The core looks up only keys that it does not know.
 func TestRunsOfOtherServers(t *testing.T) {
--- a/internal/dispatch/keys.go
+++ b/internal/dispatch/keys.go
@@ -114,8 +114,12 @@
 	e.waiters = slices.DeleteFunc(e.waiters, func(waiter *request) bool { return waiter == req })
 }
 
-// response returns the response to an attempt of a key whose run has finished.
+// response returns the response to an attempt of a key whose run has finished, or of which it is not known whether it
+// ran.
 func (e *keyEntry) response() Response {
+	if e.run != runFinished {
+		return failed(reasonIndeterminate)
+	}
 	if e.outcome == RunSucceeded {
 		return succeeded(e.result)
 	}
@@ -135,6 +139,9 @@
 	byKey      map[IdempotencyKey]*keyEntry
 	byOriginal map[control.RequestID]*keyEntry
 	unretained []*keyEntry // added in this turn
+	// replaced maps each key to the entry whose retention window had ended when a later attempt arrived. An attempt that
+	// arrived within that window may be read after the later one.
+	replaced map[IdempotencyKey]*keyEntry
 	// dropped holds the entries that were dropped without a run since the last call of takeDropped.
 	dropped []*keyEntry
 	// indeterminate maps each key of a run whose outcome the backend does not know to the end of its retention window.
@@ -148,6 +155,7 @@
 	return keyTable{
 		byKey:         map[IdempotencyKey]*keyEntry{},
 		byOriginal:    map[control.RequestID]*keyEntry{},
+		replaced:      map[IdempotencyKey]*keyEntry{},
 		indeterminate: map[IdempotencyKey]microtime.Time{},
 		hashSeed:      maphash.MakeSeed(),
 	}
@@ -200,6 +208,18 @@
 		return entry
 	}
 	t.remove(entry)
+	if entry.run == runFinished || entry.peerState == handoff.Indeterminate {
+		t.replaced[key] = entry
+	}
+	return nil
+}
+
+// ranBefore returns the replaced entry in whose retention window a request arrived; nil if there is none. The request
+// must not run, whatever became of the attempts that arrived later.
+func (t *keyTable) ranBefore(req *request) *keyEntry {
+	if entry := t.replaced[req.scopedKey()]; entry != nil && req.ArrivedAt < entry.expires {
+		return entry
+	}
 	return nil
 }
 
@@ -300,6 +320,9 @@
 	}
 	t.sweptAt = now
 	maps.DeleteFunc(t.indeterminate, func(_ IdempotencyKey, until microtime.Time) bool { return now >= until })
+	maps.DeleteFunc(t.replaced, func(_ IdempotencyKey, entry *keyEntry) bool {
+		return now > entry.expires+expiredEntryGrace
+	})
 	for _, entry := range t.byKey { // The order does not matter, as entries are independent.
 		inUse := entry.run == runActive || entry.run == runRecording
 		if now > entry.expires+expiredEntryGrace && !inUse {
--- a/internal/dispatch/submit.go
+++ b/internal/dispatch/submit.go
@@ -67,6 +67,11 @@
 		Caller:     req.CallerID,
 	}
 	if c.keyed(req) {
+		if entry := c.keys.ranBefore(req); entry != nil {
+			req.state = stateWaiting // for the next Step, which sends the response
+			c.respondLater(req, entry.response())
+			return
+		}
 		req.entry, event.Original = c.keys.attach(req)
 		event.SubjectKey = 0
 		if req.entry.external { // The decision module has not seen the run, and cannot replay it.
