--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -28,7 +28,11 @@
 
 func scenarios() map[string]scenario {
 	return map[string]scenario{
-		"restart-overlap": restartOverlap,
+		"restart-overlap":     restartOverlap,
+		"drain-waiting-retry": drainWaitingRetry,
+		"edge-descriptors":    edgeDescriptors,
+		"upgrade-desk-key":    upgradeDeskKey,
+		"edge-with-store":     edgeWithStore,
 	}
 }
 
