Review cases 6 and 7: callers send again only after a failure or giving up

Cause: in the first form of case 6 a served intake was sent again as well, and in case 7 a further try was sent while its proxy still waited for the first one.

Change: case 6 plays one intake, which fails at the stop and is then sent again; in case 7 the proxy gives up the first try after 1.8 s.

--- a/review/standin-2/case_drain.go
+++ b/review/standin-2/case_drain.go
@@ -14,16 +14,18 @@
 
 const (
 	groupServers = 3
-	// costlyBody makes the work of a costly intake: over ten times the usual 0.22 to 0.38 s, and within the deadline.
-	costlyBody = "work=4000 costly lot"
-	// tryPause is the time between the first try, the further try and the notice to drain.
-	tryPause = 300 * time.Millisecond
+	// costlyBody makes the work of a costly intake: 21 times the usual 0.38 s.
+	costlyBody = "work=8000 costly lot"
+	// patience is how long the proxy waits for the first try: as long as an answer is worth anything, the class's aim.
+	patience = 1800 * time.Millisecond
+	// noticePause is the time from the further try to the notice to drain.
+	noticePause = 300 * time.Millisecond
 	// groupLimit is how long the group may take to start.
 	groupLimit = 20 * time.Second
 )
 
-// drainWaitingRetry plays a costly intake at server 1 of a replication group, and a further try of it at server 2,
-// which waits for the run. Server 2 is told to drain while the try waits.
+// drainWaitingRetry plays a costly intake at server 1 of a replication group. Its proxy gives up and sends a further
+// try to server 2, which waits there for the run. Server 2 is told to drain while the try waits.
 func drainWaitingRetry(play *world) error {
 	group, err := play.startGroup()
 	if err != nil {
@@ -35,25 +37,26 @@
 			return errors.Join(fmt.Errorf("%s serves no read: %v", server.name, got), err)
 		}
 	}
-	first, err := play.send(group[0].listen, try{class: intakeClass, key: "lot-1", body: costlyBody})
+	intake := try{class: intakeClass, key: "lot-1", body: costlyBody}
+	first, err := play.send(group[0].listen, intake)
 	if err != nil {
 		return err
 	}
-	time.Sleep(tryPause)
-	further := try{class: intakeClass, key: "lot-1", body: costlyBody, retry: true}
-	second, err := play.send(group[1].listen, further)
+	time.Sleep(patience)
+	if err := first.giveUp(play); err != nil {
+		return err
+	}
+	intake.retry = true
+	second, err := play.send(group[1].listen, intake)
 	if err != nil {
 		return err
 	}
-	time.Sleep(tryPause)
+	time.Sleep(noticePause)
 	if play.trouble {
 		if err := group[1].signal(syscall.SIGTERM); err != nil {
 			return err
 		}
 	}
-	if got := <-first.answer; !got.served() {
-		return fmt.Errorf("the first try was not served: %v", got)
-	}
 	got := <-second.answer
 	if play.trouble && !group[1].awaitEnd(stopMS*time.Millisecond) {
 		return errors.New("the drained server did not end")
--- a/review/standin-2/case_restart_overlap.go
+++ b/review/standin-2/case_restart_overlap.go
@@ -8,15 +8,17 @@
 )
 
 const (
-	// startDelay is the time from the notice to drain to the start of the new process, and from there to the intakes.
+	// startDelay is the time from the notice to drain to the start of the new process.
 	startDelay = 100 * time.Millisecond
-	// quickBody makes the usual work, and slowBody that of an intake that the old process cannot end before its stop.
-	quickBody = "a quick lot"
-	slowBody  = "work=4000 a costly lot"
+	// intakeDelay is the time from then to the intake.
+	intakeDelay = 200 * time.Millisecond
+	// longBody makes the work of an intake that the old process cannot end before its stop: 10 times the usual 0.38 s.
+	longBody = "work=4000 a costly lot"
 )
 
 // restartOverlap plays a restart of a log server with a store of record. The new process is started while the old one
-// still drains. Intakes that come in that time run in the old process; later their callers send them again.
+// still drains. An intake that comes in that time runs in the old process and fails at its stop. The caller sends it
+// again.
 func restartOverlap(play *world) error {
 	file := play.path("store.toml")
 	if err := writeStoreFile(file, play.path("intakes.db")); err != nil {
@@ -40,9 +42,11 @@
 		time.Sleep(startDelay)
 		go startNew()
 	}
-	time.Sleep(2 * startDelay)
-	if err := play.intakesWhileDraining(old); err != nil {
-		return err
+	time.Sleep(intakeDelay)
+	intake := try{class: intakeClass, key: "lot-5", body: longBody}
+	got, err := play.ask(old.listen, intake)
+	if err != nil || !got.final() || got.served() {
+		return errors.Join(fmt.Errorf("the intake did not fail at the stop: %v", got), err)
 	}
 	if !old.awaitEnd(stopMS * time.Millisecond) {
 		return errors.New("the old process did not end")
@@ -53,31 +57,11 @@
 	if err := <-started; err != nil {
 		return err
 	}
-	for _, body := range []string{quickBody, slowBody} {
-		again := try{class: intakeClass, key: body, body: body, retry: true}
-		if _, err := play.ask(old.listen, again); err != nil {
-			return err
-		}
-		play.checkRuns(body)
-	}
-	return nil
-}
-
-// intakesWhileDraining sends two intakes to a draining process and waits for their answers.
-func (w *world) intakesWhileDraining(old *process) error {
-	var sent []*pending
-	for _, body := range []string{quickBody, slowBody} {
-		intake, err := w.send(old.listen, try{class: intakeClass, key: body, body: body})
-		if err != nil {
-			return err
-		}
-		sent = append(sent, intake)
-	}
-	for _, intake := range sent {
-		if got := <-intake.answer; !got.final() {
-			return fmt.Errorf("an intake got no answer: %v", got)
-		}
+	intake.retry = true
+	if _, err := play.ask(old.listen, intake); err != nil {
+		return err
 	}
+	play.checkRuns(longBody)
 	return nil
 }
 
--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -17,6 +17,8 @@
 	dialTimeout = time.Second
 	// queuedKB is the memory that is booked for a held request, in KB.
 	queuedKB = "24.5"
+	// firstSequenceID is the number of the first request on a connection; each try has a connection of its own.
+	firstSequenceID = 1
 	// answerLimit is how long a proxy waits for an answer: the deadline of the classes, with the slack of 100 ms of the
 	// settings and of 50 ms on sockets.
 	answerLimit = 4650 * time.Millisecond
@@ -49,9 +51,17 @@
 type pending struct {
 	id     string
 	sentAt time.Time
+	conn   net.Conn
 	answer chan answer // gets one value
 }
 
+// giveUp tells the log server that the proxy no longer waits. No answer is owed from then on.
+func (p *pending) giveUp(w *world) error {
+	w.notef("gave up %s", p.id)
+	_, err := p.conn.Write(thrift.AppendGiveUp(nil, firstSequenceID))
+	return err
+}
+
 // fields returns the fields of a try that comes to the machine now.
 func (t try) fields(id string) []thrift.Field {
 	fields := []thrift.Field{
@@ -75,10 +85,10 @@
 	if err != nil {
 		return nil, err
 	}
-	if _, err := conn.Write(thrift.AppendCall(nil, 1, t.fields(id), []byte(t.body))); err != nil {
+	if _, err := conn.Write(thrift.AppendCall(nil, firstSequenceID, t.fields(id), []byte(t.body))); err != nil {
 		return nil, err
 	}
-	sent := &pending{id: id, sentAt: time.Now(), answer: make(chan answer, 1)}
+	sent := &pending{id: id, sentAt: time.Now(), conn: conn, answer: make(chan answer, 1)}
 	w.notef("sent %s to %s: %s key %q body %q retry %v", id, address, t.class, t.key, t.body, t.retry)
 	go func() { // ends with the answer, the connection or the limit
 		got := readAnswer(conn, sent.sentAt.Add(answerLimit))
