--- a/review/standin-2/case_edge_fd.go
+++ b/review/standin-2/case_edge_fd.go
@@ -19,11 +19,13 @@
 	// loadInterval is the time between two requests of the usual load, 100 a second.
 	loadInterval = 10 * time.Millisecond
 	loadTime     = 12 * time.Second
-	// crowdDelay is when the idle connections begin to come, and crowdInterval the time between two of them.
-	crowdDelay    = 3 * time.Second
-	crowdInterval = 2 * time.Millisecond
-	crowdSize     = 1000
-	descriptors   = "ulimit -n %d; " // the platform's limit on the process, in the shell that starts it
+	// crowdDelay is when the idle connections begin to come. Each of the callers opens callerConns, one after another.
+	crowdDelay   = 3 * time.Second
+	crowdCallers = 5
+	callerConns  = 200
+	callerPause  = 2 * time.Millisecond
+	crowdStay    = 2 * time.Second  // of the idle connections, once a caller has opened all of its own
+	descriptors  = "ulimit -n %d; " // the platform's limit on the process, in the shell that starts it
 )
 
 // edgeDescriptors plays the usual load at an edge in front of 22 log servers. A crowd of idle connections arrives.
@@ -63,19 +65,22 @@
 // crowd opens idle connections to an edge, which send nothing, and closes them at the end.
 func (w *world) crowd(edge *process) {
 	time.Sleep(crowdDelay)
-	w.notef("%d idle connections begin to come; the edge has %d descriptors", crowdSize, edge.descriptors())
-	var idle []net.Conn
-	for range crowdSize {
-		conn, err := net.DialTimeout("tcp", edge.listen, dialTimeout)
-		if err == nil {
-			idle = append(idle, conn)
-		}
-		time.Sleep(crowdInterval)
-	}
-	w.notef("%d idle connections were opened; the edge has %d descriptors", len(idle), edge.descriptors())
-	for _, conn := range idle {
-		_ = conn.Close() // the edge may have closed it
+	w.notef("%d idle connections begin to come; the edge has %d descriptors", crowdCallers*callerConns, edge.descriptors())
+	var callers sync.WaitGroup
+	for range crowdCallers {
+		callers.Go(func() {
+			for range callerConns {
+				conn, err := net.DialTimeout("tcp", edge.listen, dialTimeout)
+				if err == nil {
+					defer func() { _ = conn.Close() }() // the edge may have closed it
+				}
+				time.Sleep(callerPause)
+			}
+			w.notef("a caller has opened its idle connections; the edge has %d descriptors", edge.descriptors())
+			time.Sleep(crowdStay)
+		})
 	}
+	callers.Wait()
 }
 
 // usualLoad sends reads, each on a new connection, and counts the kinds of answers.
--- a/review/standin-2/case_edge_store.go
+++ b/review/standin-2/case_edge_store.go
@@ -18,7 +18,7 @@
 	// quietTime is longer than the retention window of the intake, 13.518 s.
 	quietTime = 15 * time.Second
 	// lateReads is how many reads are sent after quietTime, one after each readPause.
-	lateReads = 20
+	lateReads = 12
 	readPause = time.Second
 )
 
--- a/review/standin-2/case_restart_overlap.go
+++ b/review/standin-2/case_restart_overlap.go
@@ -10,8 +10,8 @@
 const (
 	// startDelay is the time from the notice to drain to the start of the new process.
 	startDelay = 100 * time.Millisecond
-	// intakeDelay is the time from then to the intake.
-	intakeDelay = 200 * time.Millisecond
+	// intakeDelay is the time from then to the intake. The new process has reached its wait by then.
+	intakeDelay = time.Second
 	// longBody makes the work of an intake that the old process cannot end before its stop: 10 times the usual 0.38 s.
 	longBody = "work=4000 a costly lot"
 )
--- a/review/standin-2/case_upgrade_key.go
+++ b/review/standin-2/case_upgrade_key.go
@@ -18,7 +18,7 @@
 	// for each character that older web front ends use.
 	deskKey = "\xc5\xe7\xcd\xb5-17"
 	// checkPause is the time from the desk's answer to the operator's next step.
-	checkPause = 500 * time.Millisecond
+	checkPause = 1500 * time.Millisecond
 )
 
 // upgradeDeskKey plays an upgrade. While both processes run, an office's desk sends an intake by AJP. The operator then
